--- /dev/null
+++ b/include/wisteriareel/event_log.h
@@ -0,0 +1,50 @@
+#ifndef WISTERIAREEL_EVENT_LOG_H_
+#define WISTERIAREEL_EVENT_LOG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wisteriareel {
+
+// Numbered events, listed in docs/EVENTS.md. Append only, inside the block of
+// the folder that writes the event.
+enum class EventId : std::uint16_t {
+  // 1000-1099 daemon.
+  kDaemonStarted = 1000,
+  kDaemonReady = 1001,
+  kDaemonDraining = 1002,
+  kDaemonStopped = 1003,
+  kSettingsRejected = 1004,
+
+  // 1100-1199 platform.
+  // 1200-1299 budget.
+  // 1300-1399 request.
+  // 1400-1499 routing.
+  // 1500-1599 config.
+  // 1600-1699 membership.
+  // 1700-1799 lifecycle.
+  // 1800-1899 http, rpc, peer.
+};
+
+enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
+
+// One named value of an event.
+struct EventField {
+  std::string_view name;
+  std::string value;
+};
+
+// Writes numbered events. Thread-safe.
+class EventLog {
+ public:
+  virtual ~EventLog() = default;
+
+  virtual void Write(EventId id, Severity severity, std::string_view text,
+                     const std::vector<EventField>& fields) = 0;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_EVENT_LOG_H_
--- /dev/null
+++ b/include/wisteriareel/reason.h
@@ -0,0 +1,108 @@
+#ifndef WISTERIAREEL_REASON_H_
+#define WISTERIAREEL_REASON_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace wisteriareel {
+
+// Why something was refused, failed or retried. Numbers are stable: they
+// appear in answers, records and counters. Append only, inside the block of
+// the folder that raises the reason.
+enum class Reason : std::uint16_t {
+  kNone = 0,
+
+  // 100-199 base and platform.
+  kPlatformUnavailable = 100,
+  kPlatformRateLimited = 101,
+  kPlatformReplyLost = 102,
+  kConflict = 103,
+  kNotFound = 104,
+  kMalformed = 105,
+  kDeadlineExceeded = 106,
+  kCancelled = 107,
+  kUnauthenticated = 108,
+  kForbidden = 109,
+  kTooLarge = 110,
+  kUnavailable = 111,
+
+  // 200-299 budget.
+  kBudgetExhausted = 200,
+  kGrantTooSmall = 201,
+  kGrantLeaseLapsed = 202,
+  kBudgetUnknown = 203,
+  kBudgetPlatformAway = 204,
+
+  // 300-399 request.
+  kClaimHeldElsewhere = 300,
+  kClaimUnconfirmed = 301,
+  kClaimInDoubt = 302,
+  kIdempotencyKeyMissing = 303,
+  kRetryBudgetSpent = 304,
+  kAnswerIncomplete = 305,
+  kStreamStalled = 306,
+  kTargetUnreachable = 307,
+  kTargetFailed = 308,
+  kQueueFull = 309,
+  kQueueTimeout = 310,
+  kShedOverload = 311,
+  kCustomerShareExceeded = 312,
+  kCallerGone = 313,
+  kDraining = 314,
+
+  // 400-499 routing.
+  kNoSuchPool = 400,
+  kNoTargetAvailable = 401,
+  kPoolSaturated = 402,
+
+  // 500-599 config.
+  kCustomerSuspended = 500,
+  kRevisionStale = 501,
+  kOrderSuperseded = 502,
+  kConfigNotLoaded = 503,
+
+  // 600-699 membership.
+  kLeaseHeldElsewhere = 600,
+  kLeaseLapsed = 601,
+
+  // 700-799 lifecycle.
+  kFencingNumberOld = 700,
+  kWeightStoreBusy = 701,
+
+  // 800-899 edges: http, rpc, peer, settings.
+  kHeaderTooLarge = 800,
+  kBodyTooLarge = 801,
+  kConnectionLimit = 802,
+  kPeerVersionUnsupported = 803,
+  kPeerFrameMalformed = 804,
+};
+
+// Returns the reason's stable name in lower snake case, or "unknown".
+std::string_view ReasonName(Reason reason);
+
+// The last reason that an operation gave for returning std::nullopt. Passed
+// as an out-parameter; untouched on success. Not thread-safe.
+class LastReason {
+ public:
+  LastReason() = default;
+
+  // Records why the operation failed. `detail` is for people and holds no
+  // secret.
+  void Set(Reason reason, std::string detail = {}) {
+    reason_ = reason;
+    detail_ = std::move(detail);
+  }
+
+  Reason reason() const { return reason_; }
+  const std::string& detail() const { return detail_; }
+
+ private:
+  Reason reason_ = Reason::kNone;
+  std::string detail_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_REASON_H_
--- /dev/null
+++ b/include/wisteriareel/strong_string.h
@@ -0,0 +1,38 @@
+#ifndef WISTERIAREEL_STRONG_STRING_H_
+#define WISTERIAREEL_STRONG_STRING_H_
+
+#include <compare>
+#include <string>
+#include <utility>
+
+namespace wisteriareel {
+
+// An immutable identifier. `Tag` keeps identifiers of different kinds from
+// being mixed up; two identifiers are equal when their bytes are equal.
+template <typename Tag>
+class StrongString {
+ public:
+  StrongString() = default;
+  explicit StrongString(std::string value) : value_(std::move(value)) {}
+
+  // Returns the identifier's bytes.
+  const std::string& value() const { return value_; }
+
+  // Returns true for a default-constructed or empty identifier.
+  bool empty() const { return value_.empty(); }
+
+  friend bool operator==(const StrongString&, const StrongString&) = default;
+  friend auto operator<=>(const StrongString&, const StrongString&) = default;
+
+  template <typename H>
+  friend H AbslHashValue(H h, const StrongString& id) {
+    return H::combine(std::move(h), id.value_);
+  }
+
+ private:
+  std::string value_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_STRONG_STRING_H_
--- /dev/null
+++ b/test/base_tests.cmake
@@ -0,0 +1,2 @@
+wisteriareel_test(types_test LIBRARIES wisteriareel_base rapidcheck)
+wisteriareel_test(memory_table_test LIBRARIES wisteriareel_base)
