--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -22,10 +22,11 @@
   endif()
 endfunction()
 
-# wisteriareel_test(NAME LIBRARIES ...) builds test/NAME.cc and registers it
-# with ctest under the fixed property-test seed.
+# wisteriareel_test(NAME [THREADED] LIBRARIES ...) builds test/NAME.cc and
+# registers it with ctest under the fixed property-test seed. THREADED marks
+# tests that CI runs again under ThreadSanitizer.
 function(wisteriareel_test name)
-  cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "THREADED" "" "LIBRARIES" ${ARGN})
   add_executable(${name} ${name}.cc)
   target_link_libraries(${name} PRIVATE
     wisteriareel_warnings GTest::gtest GTest::gmock GTest::gtest_main
@@ -34,4 +35,8 @@
   set_tests_properties(${name} PROPERTIES
     ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200"
     TIMEOUT 300)
+  if(ARG_THREADED)
+    set_tests_properties(${name} PROPERTIES LABELS threaded)
+    set_property(GLOBAL APPEND PROPERTY WISTERIAREEL_THREADED_TESTS ${name})
+  endif()
 endfunction()
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -45,6 +45,9 @@
                      const std::vector<EventField>& fields) = 0;
 };
 
+// Returns a log that keeps nothing. Never null; not owned by the caller.
+EventLog* DiscardEvents();
+
 }  // namespace wisteriareel
 
 #endif  // WISTERIAREEL_EVENT_LOG_H_
--- a/test/base_tests.cmake
+++ b/test/base_tests.cmake
@@ -1,2 +1,3 @@
 wisteriareel_test(types_test LIBRARIES wisteriareel_base rapidcheck)
 wisteriareel_test(memory_table_test LIBRARIES wisteriareel_base)
+wisteriareel_test(background_loop_test THREADED LIBRARIES wisteriareel_base)
