Let a target call carry the idempotency key; say who writes the end marker

Cause: a target that looks at the key has to receive it, and the interfaces left open whether the end marker passes through the sink or is written by the answer writer. Conclusion: additive; nothing reads the field yet.

--- a/include/wisteriareel/request_handler.h
+++ b/include/wisteriareel/request_handler.h
@@ -61,8 +61,9 @@
   // Returns false if the caller is gone.
   virtual bool WriteHead(int status, std::string_view content_type) = 0;
   virtual bool WriteData(std::string_view bytes) = 0;
-  // Marks the answer as whole. Without this call the caller must see an
-  // error or a broken answer, never a short one that looks whole.
+  // Marks the answer as whole; for an event stream it writes the end marker.
+  // Without this call the caller must see an error or a broken answer, never
+  // a short one that looks whole.
   virtual bool Finish() = 0;
   // Returns true once the caller has closed its connection.
   virtual bool CallerGone() const = 0;
--- a/include/wisteriareel/target_client.h
+++ b/include/wisteriareel/target_client.h
@@ -16,6 +16,8 @@
 // One attempt at one target.
 struct TargetCall {
   RequestId request;
+  // Sent on when the caller gave one, for targets that look at it.
+  IdempotencyKey idempotency_key;
   int attempt = 1;
   TargetId target;
   Endpoint endpoint;
@@ -46,8 +48,9 @@
   virtual void OnHead(int status, std::string_view content_type) = 0;
 
   // Receives body bytes in order: for a streamed call exactly one whole
-  // server-sent event with its position (from zero), else any piece.
-  // Returns false to give the attempt up.
+  // server-sent event with its position (from zero), the blank line that ends
+  // it included; else any piece. The end marker of a stream is not handed
+  // over. Returns false to give the attempt up.
   virtual bool OnData(std::uint64_t position, std::string_view bytes) = 0;
 };
 
