--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -21,7 +21,17 @@
   // 1100-1199 platform.
   // 1200-1299 budget.
   // 1300-1399 request.
+  kClaimInDoubt = 1300,
+  kClaimReleasePending = 1301,
+  kClaimLost = 1302,
+  kClaimResolved = 1303,
+  kAnswerBroken = 1304,
+  kRequestsDrained = 1305,
+
   // 1400-1499 routing.
+  kTargetEjected = 1400,
+  kTargetReadmitted = 1401,
+
   // 1500-1599 config.
   // 1600-1699 membership.
   // 1700-1799 lifecycle.
--- a/include/wisteriareel/reason.h
+++ b/include/wisteriareel/reason.h
@@ -51,6 +51,8 @@
   kCustomerShareExceeded = 312,
   kCallerGone = 313,
   kDraining = 314,
+  kIdempotencyKeyReused = 315,
+  kAnswerNotKept = 316,
 
   // 400-499 routing.
   kNoSuchPool = 400,
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -72,6 +72,10 @@
       return "caller_gone";
     case Reason::kDraining:
       return "draining";
+    case Reason::kIdempotencyKeyReused:
+      return "idempotency_key_reused";
+    case Reason::kAnswerNotKept:
+      return "answer_not_kept";
 
     case Reason::kNoSuchPool:
       return "no_such_pool";
--- /dev/null
+++ b/src/request/admission.h
@@ -0,0 +1,50 @@
+#ifndef WISTERIAREEL_SRC_REQUEST_ADMISSION_H_
+#define WISTERIAREEL_SRC_REQUEST_ADMISSION_H_
+
+#include <cstdint>
+
+#include "absl/time/time.h"
+#include "wisteriareel/reason.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+// A request that wants to use a pool.
+struct AdmissionRequest {
+  PoolId pool;
+  CustomerId customer;
+  // Share of a saturated pool relative to other customers.
+  std::uint32_t weight = 1;
+  Priority priority = Priority::kNormal;
+  // Requests that this instance may have in flight at the pool.
+  int capacity = 1;
+  absl::Time deadline = absl::InfiniteFuture();
+
+  friend bool operator==(const AdmissionRequest&,
+                         const AdmissionRequest&) = default;
+};
+
+struct AdmissionReply {
+  bool admitted = false;
+  Reason reason = Reason::kNone;
+  absl::Duration retry_after;
+
+  friend bool operator==(const AdmissionReply&,
+                         const AdmissionReply&) = default;
+};
+
+// Bounds what is in flight. Thread-safe.
+class Admission {
+ public:
+  virtual ~Admission() = default;
+
+  // Blocks while the request is queued, up to its deadline.
+  virtual AdmissionReply Enter(const AdmissionRequest& request) = 0;
+
+  // Ends the stay of an admitted request. Called once per admission.
+  virtual void Leave(const AdmissionRequest& request) = 0;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_REQUEST_ADMISSION_H_
--- /dev/null
+++ b/src/request/answer_relay.cc
@@ -0,0 +1,155 @@
+#include "src/request/answer_relay.h"
+
+#include <utility>
+
+namespace wisteriareel {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr std::string_view kEventStream = "text/event-stream";
+
+}  // namespace
+
+// Hands an attempt's parts to the relay until the attempt has ended.
+class AnswerRelay::AttemptSink final : public TargetSink {
+ public:
+  explicit AttemptSink(AnswerRelay* relay) : relay_(relay) {}
+
+  void Close() { relay_ = nullptr; }
+
+  void OnHead(int status, std::string_view content_type) override {
+    if (relay_ != nullptr) relay_->OnHead(status, content_type);
+  }
+
+  bool OnData(std::uint64_t position, std::string_view bytes) override {
+    return relay_ != nullptr && relay_->OnData(position, bytes);
+  }
+
+ private:
+  AnswerRelay* relay_;
+};
+
+AnswerRelay::AnswerRelay(const RelayOptions& options, AnswerWriter* writer)
+    : options_(options), writer_(writer), last_event_(options.clock->Now()) {}
+
+AnswerRelay::~AnswerRelay() = default;
+
+TargetSink* AnswerRelay::BeginAttempt() {
+  if (!sinks_.empty()) sinks_.back()->Close();
+  fault_ = RelayFault::kNone;
+  status_ = 0;
+  content_type_.clear();
+  is_stream_ = false;
+  body_.clear();
+  sinks_.push_back(std::make_unique<AttemptSink>(this));
+  return sinks_.back().get();
+}
+
+bool AnswerRelay::EndAttempt(const TargetOutcome& outcome) {
+  sinks_.back()->Close();
+  if (fault_ != RelayFault::kNone || status_ == 0) return false;
+  if (!outcome.complete) return false;
+  if (is_stream_) return true;
+  if (next_ > 0) return false;
+  if (options_.chat) usage_ = FindChatUsage(body_);
+  return true;
+}
+
+bool AnswerRelay::Finish() {
+  if (is_stream_) {
+    return WriteStreamHead() && writer_->Finish();
+  }
+  if (!writer_->WriteHead(status_, content_type_)) return false;
+  return writer_->WriteData(body_) && writer_->Finish();
+}
+
+std::optional<KeptAnswer> AnswerRelay::TakeKept() {
+  if (kept_overflowed_) return std::nullopt;
+  KeptAnswer answer{.status = status_, .content_type = content_type_};
+  answer.body = is_stream_ ? kept_stream_ : body_;
+  return answer;
+}
+
+void AnswerRelay::OnHead(int status, std::string_view content_type) {
+  status_ = status;
+  content_type_ = std::string(content_type);
+  is_stream_ = options_.streamed && status == kStatusOk &&
+               content_type.starts_with(kEventStream);
+  if (next_ > 0 && !is_stream_) Fail(RelayFault::kNotResumable);
+}
+
+bool AnswerRelay::OnData(std::uint64_t position, std::string_view bytes) {
+  if (fault_ != RelayFault::kNone || status_ == 0) return false;
+  return is_stream_ ? OnEvent(position, bytes) : OnPiece(position, bytes);
+}
+
+bool AnswerRelay::OnEvent(std::uint64_t position, std::string_view event) {
+  if (position < next_) return OnRepeatedEvent(position, event);
+  if (position > next_) return Fail(RelayFault::kGap);
+  if (!PassOn(event)) return Fail(RelayFault::kCallerGone);
+  Remember(event);
+  ++next_;
+  return true;
+}
+
+// An event that the caller already has: compared if it may stem from another
+// run, else dropped.
+bool AnswerRelay::OnRepeatedEvent(std::uint64_t position,
+                                  std::string_view event) {
+  if (!options_.compare_repeats) return true;
+  if (ChatEventTextHash(event) == delivered_hashes_[position]) return true;
+  return Fail(RelayFault::kDiffers);
+}
+
+bool AnswerRelay::OnPiece(std::uint64_t position, std::string_view bytes) {
+  if (position + bytes.size() <= body_.size()) return true;
+  if (position != body_.size()) return Fail(RelayFault::kGap);
+  if (body_.size() + bytes.size() > options_.max_answer_bytes) {
+    return Fail(RelayFault::kTooLarge);
+  }
+  body_.append(bytes);
+  return true;
+}
+
+bool AnswerRelay::PassOn(std::string_view event) {
+  if (options_.chat) {
+    const std::optional<ChatUsage> usage = FindChatUsage(event);
+    if (usage) usage_ = usage;
+    if (usage && !options_.wants_usage && IsUsageOnlyEvent(event)) return true;
+  }
+  ++output_events_;
+  if (!WriteStreamHead()) return false;
+  if (!writer_->WriteData(event)) return false;
+  const absl::Time now = options_.clock->Now();
+  const Timing timing =
+      output_events_ == 1 ? Timing::kFirstToken : Timing::kInterToken;
+  options_.counters->Record(timing, now - last_event_);
+  last_event_ = now;
+  return true;
+}
+
+void AnswerRelay::Remember(std::string_view event) {
+  if (options_.compare_repeats) {
+    delivered_hashes_.push_back(ChatEventTextHash(event));
+  }
+  if (!options_.keep_stream || kept_overflowed_) return;
+  if (kept_stream_.size() + event.size() > options_.max_answer_bytes) {
+    kept_overflowed_ = true;
+    kept_stream_ = std::string();
+    return;
+  }
+  kept_stream_.append(event);
+}
+
+bool AnswerRelay::WriteStreamHead() {
+  if (head_written_) return true;
+  head_written_ = true;
+  return writer_->WriteHead(kStatusOk, content_type_);
+}
+
+bool AnswerRelay::Fail(RelayFault fault) {
+  fault_ = fault;
+  return false;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/request/request_run.cc
@@ -0,0 +1,416 @@
+#include "src/request/request_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "src/request/chat_codec.h"
+#include "src/request/content_hash.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr int kFirstServerError = 500;
+constexpr int kFirstErrorStatus = 400;
+// What a caller is told to wait after a refusal that should soon pass.
+constexpr absl::Duration kShortRetryAfter = absl::Seconds(1);
+
+std::uint64_t HashContent(const CallerRequest& request) {
+  return ContentHash()
+      .Add(request.method)
+      .Add(request.path)
+      .Add(request.body)
+      .value();
+}
+
+}  // namespace
+
+RequestRun::RequestRun(const RequestServiceOptions& options,
+                       const RetryPolicy& policy, RetryBudget* retry_budget,
+                       int instances, const CallerRequest& request,
+                       AnswerWriter* writer)
+    : options_(options),
+      policy_(policy),
+      retry_budget_(retry_budget),
+      instances_(instances),
+      request_(request),
+      writer_(writer),
+      started_(options.clock->Now()),
+      config_(options.config->Current()) {
+  result_.answered_request = request.id;
+}
+
+CallResult RequestRun::Run() {
+  if (LookUp() && Prepare() && Admit() && AcquireClaim() && Reserve()) {
+    Dispatch();
+  }
+  Settle();
+  SettleClaim();
+  if (admission_) options_.admission->Leave(*admission_);
+  return result_;
+}
+
+bool RequestRun::LookUp() {
+  if (config_->revision() == Revision()) {
+    result_.retry_after = kShortRetryAfter;
+    return Fail(Reason::kConfigNotLoaded);
+  }
+  customer_ = config_->FindCustomer(request_.customer);
+  if (customer_ == nullptr) return Fail(Reason::kForbidden);
+  if (customer_->suspended) return Fail(Reason::kCustomerSuspended);
+  return LookUpPool();
+}
+
+bool RequestRun::LookUpPool() {
+  const bool chat = request_.kind == CallKind::kChat;
+  pool_ = chat ? config_->FindPoolForModel(request_.model)
+               : config_->FindPoolForPath(request_.path);
+  if (pool_ == nullptr) return Fail(Reason::kNoSuchPool);
+  const absl::Duration limit =
+      chat ? options_.timeouts.chat : options_.timeouts.service;
+  deadline_ = std::min(request_.deadline, started_ + limit);
+  if (started_ >= deadline_) return Fail(Reason::kDeadlineExceeded);
+  idempotent_ =
+      config_->IsIdempotent(pool_->id, request_.method, request_.path);
+  const bool key_needed = !chat && !idempotent_;
+  if (key_needed && request_.idempotency_key.empty()) {
+    return Fail(Reason::kIdempotencyKeyMissing);
+  }
+  return true;
+}
+
+// Makes the body that goes to targets and bounds what it may cost.
+bool RequestRun::Prepare() {
+  RelayOptions relay{.streamed = request_.streamed,
+                     .keep_stream = NeedsClaim(),
+                     .max_answer_bytes = options_.max_answer_bytes,
+                     .clock = options_.clock,
+                     .counters = options_.counters};
+  body_ = request_.body;
+  worst_case_ = pool_->service_call_tokens;
+  if (request_.kind == CallKind::kChat) {
+    const std::uint32_t limit = std::max<std::uint32_t>(
+        1, request_.output_limit.value_or(pool_->default_output_limit));
+    LastReason reason;
+    std::optional<ChatBody> chat =
+        PrepareChatBody(body_, limit, request_.streamed, &reason);
+    if (!chat) return Fail(reason.reason(), reason.detail());
+    body_ = std::move(chat->bytes);
+    worst_case_ = request_.prompt_bound +
+                  Tokens(std::int64_t{limit} * std::int64_t{chat->choices});
+    deterministic_ = chat->deterministic;
+    relay.chat = true;
+    relay.wants_usage = chat->wants_usage;
+    relay.compare_repeats = idempotent_ && deterministic_;
+  }
+  relay_ = std::make_unique<AnswerRelay>(relay, writer_);
+  return true;
+}
+
+bool RequestRun::Admit() {
+  if (options_.admission == nullptr) return true;
+  AdmissionRequest admission{.pool = pool_->id,
+                             .customer = request_.customer,
+                             .weight = customer_->weight,
+                             .priority = request_.priority,
+                             .capacity = PoolCapacity(),
+                             .deadline = deadline_};
+  const AdmissionReply reply = options_.admission->Enter(admission);
+  if (!reply.admitted) {
+    result_.retry_after = reply.retry_after;
+    return Fail(reply.reason);
+  }
+  admission_ = std::move(admission);
+  return true;
+}
+
+bool RequestRun::NeedsClaim() const {
+  return !idempotent_ && !request_.idempotency_key.empty();
+}
+
+bool RequestRun::AcquireClaim() {
+  if (!NeedsClaim()) return true;
+  if (options_.claims == nullptr) return Fail(Reason::kClaimUnconfirmed);
+  const absl::Time begun = options_.clock->Now();
+  const absl::Duration timeout =
+      std::min(options_.timeouts.claim, deadline_ - begun);
+  const ClaimReply reply = options_.claims->Acquire(
+      ClaimRequest{.customer = request_.customer,
+                   .key = request_.idempotency_key,
+                   .request = request_.id,
+                   .content_hash = HashContent(request_)},
+      timeout);
+  options_.counters->Record(Timing::kClaimCommit,
+                            options_.clock->Now() - begun);
+  claim_ = reply.claim;
+  if (claim_) return true;
+  if (reply.kept) return GiveKeptAnswer(reply);
+  result_.verdict = reply.verdict;
+  result_.retry_after = kShortRetryAfter;
+  return Fail(reply.reason);
+}
+
+// Answers a retry from what its first run gave. Returns false: nothing is
+// left to run.
+bool RequestRun::GiveKeptAnswer(const ClaimReply& reply) {
+  result_.verdict = Verdict::kRan;
+  result_.answered_request = reply.earlier;
+  const bool given = writer_->WriteHead(reply.kept->status,
+                                        reply.kept->content_type) &&
+                     writer_->WriteData(reply.kept->body) && writer_->Finish();
+  if (!given) return Fail(Reason::kCallerGone);
+  options_.counters->Add(Counter::kAnswersWhole, 1);
+  return false;
+}
+
+bool RequestRun::Reserve() {
+  if (worst_case_ == Tokens()) return true;
+  LastReason reason;
+  const absl::Time deadline =
+      std::min(deadline_, options_.clock->Now() + options_.timeouts.reserve);
+  reservation_ = options_.budget->Reserve(request_.budget, request_.id,
+                                          worst_case_, deadline, &reason);
+  if (reservation_) return true;
+  return Fail(reason.reason(), reason.detail());
+}
+
+void RequestRun::Dispatch() {
+  if (!ChooseTarget(NextStep::kRetry)) return;
+  while (true) {
+    const NextAction action = Attempt();
+    if (action.step == NextStep::kDeliver) return Deliver();
+    if (action.step == NextStep::kFail) return GiveUp(action.reason);
+    if (MayRepeat(action) && ChooseTarget(action.step)) continue;
+    return whole_ ? Deliver() : GiveUp(action.reason);
+  }
+}
+
+bool RequestRun::ChooseTarget(NextStep step) {
+  resuming_ = step == NextStep::kResume;
+  if (resuming_) {
+    target_ = options_.selector->PickSame(pool_->id, target_->id);
+    return target_.has_value();
+  }
+  fruitless_resumes_ = 0;
+  // A holder that was paused must not dispatch under a claim that others may
+  // have settled meanwhile.
+  if (claim_ && options_.clock->Now() >= claim_->dispatch_until) {
+    return Fail(Reason::kClaimUnconfirmed, "the claim is too old to dispatch");
+  }
+  LastReason reason;
+  const PickQuery query{.pool = pool_->id,
+                        .prefix_hash = request_.prefix_hash,
+                        .avoided = avoided_};
+  std::optional<PickedTarget> picked =
+      options_.selector->Pick(query, options_.clock->Now(), &reason);
+  if (!picked) {
+    if (attempts_ == 0) {
+      result_.retry_after = kShortRetryAfter;
+      Fail(reason.reason(), reason.detail());
+    }
+    return false;
+  }
+  target_ = std::move(picked);
+  return true;
+}
+
+NextAction RequestRun::Attempt() {
+  ++attempts_;
+  const std::uint64_t delivered_before = relay_->delivered();
+  const TargetCall call = MakeCall();
+  TargetSink* sink = relay_->BeginAttempt();
+  const std::atomic<bool> cancelled = false;
+  TargetOutcome outcome = options_.targets->Send(call, sink, cancelled);
+  whole_ = relay_->EndAttempt(outcome);
+  if (outcome.status == 0) outcome.status = relay_->status();
+  outcome.verdict = ProvenVerdict(outcome, relay_->attempt_answered(), whole_);
+  result_.verdict = Combine(result_.verdict, outcome.verdict);
+  ReportAttempt(outcome, whole_);
+  if (!whole_ && outcome.verdict != Verdict::kNotRun) {
+    options_.targets->Cancel(call);
+  }
+  const bool progressed = relay_->delivered() > delivered_before;
+  fruitless_resumes_ = progressed ? 0 : fruitless_resumes_;
+  const NextAction action =
+      policy_.Decide(AttemptState{.idempotent = idempotent_,
+                                  .deterministic = deterministic_,
+                                  .streamed = request_.streamed,
+                                  .whole = whole_,
+                                  .fault = relay_->fault(),
+                                  .delivered = relay_->delivered(),
+                                  .attempts = attempts_,
+                                  .fruitless_resumes = fruitless_resumes_,
+                                  .outcome = outcome});
+  if (action.step == NextStep::kResume) ++fruitless_resumes_;
+  return action;
+}
+
+TargetCall RequestRun::MakeCall() const {
+  TargetCall call{.request = request_.id,
+                  .attempt = attempts_,
+                  .target = target_->id,
+                  .endpoint = target_->endpoint,
+                  .method = request_.method,
+                  .path = request_.path,
+                  .body = body_,
+                  .priority = request_.priority,
+                  .streamed = request_.streamed,
+                  .fresh_connection = !idempotent_ || attempts_ > 1,
+                  .connect_timeout = options_.timeouts.connect,
+                  .deadline = deadline_};
+  if (!request_.content_type.empty()) call.content_type = request_.content_type;
+  if (resuming_) call.resume_offset = relay_->delivered();
+  call.progress_timeout = deadline_ - options_.clock->Now();
+  if (request_.streamed) {
+    call.progress_timeout =
+        std::min(call.progress_timeout, options_.timeouts.stream_progress);
+    call.first_byte_timeout = options_.timeouts.stream_first_byte;
+  }
+  return call;
+}
+
+void RequestRun::ReportAttempt(const TargetOutcome& outcome, bool whole) {
+  const bool blameless = relay_->fault() == RelayFault::kCallerGone ||
+                         relay_->fault() == RelayFault::kTooLarge;
+  const bool failed =
+      (!whole && !blameless) || outcome.status >= kFirstServerError;
+  options_.selector->Finished(pool_->id, {.target = target_->id,
+                                          .failed = failed},
+                              options_.clock->Now());
+  if (failed) avoided_.push_back(target_->id);
+}
+
+bool RequestRun::MayRepeat(const NextAction& action) {
+  if (writer_->CallerGone()) return false;
+  const absl::Time now = options_.clock->Now();
+  const absl::Duration pause =
+      policy_.Pause(attempts_, options_.random->Fraction());
+  if (now + pause >= deadline_) return false;
+  if (!retry_budget_->TryTake(pool_->id, now)) {
+    options_.counters->Refused(Reason::kRetryBudgetSpent);
+    result_.detail = "retry budget spent";
+    return false;
+  }
+  options_.counters->Retried(action.reason);
+  options_.clock->Sleep(pause);
+  return true;
+}
+
+// The outcome is kept before the caller hears of it, so that a retry after
+// this instance's death finds it.
+void RequestRun::Deliver() {
+  if (claim_) {
+    const std::optional<KeptAnswer> kept = relay_->TakeKept();
+    options_.claims->Complete(*claim_, kept, options_.timeouts.claim);
+    kept_ = true;
+  }
+  if (!relay_->Finish()) {
+    Fail(Reason::kCallerGone);
+    return;
+  }
+  result_.reason = Reason::kNone;
+  result_.detail.clear();
+  options_.counters->Add(Counter::kAnswersWhole, 1);
+}
+
+void RequestRun::GiveUp(Reason reason) {
+  if (relay_->output_events() > 0) {
+    options_.events->Write(EventId::kAnswerBroken, Severity::kWarning,
+                           "a stream could not be completed",
+                           {{"request", request_.id.value()},
+                            {"target", target_ ? target_->id.value() : ""},
+                            {"reason", std::string(ReasonName(reason))},
+                            {"events", absl::StrCat(relay_->delivered())}});
+  }
+  if (result_.verdict == Verdict::kNotRun) {
+    result_.retry_after = kShortRetryAfter;
+  }
+  Fail(reason, result_.detail);
+}
+
+void RequestRun::Settle() {
+  const RequestRecord record = MakeRecord();
+  if (record.billed > Tokens()) {
+    options_.counters->Add(Counter::kTokensBilled,
+                           static_cast<std::uint64_t>(record.billed.value()));
+  }
+  options_.counters->Record(Timing::kRequest, record.finished - record.started);
+  if (reservation_ && result_.verdict != Verdict::kNotRun) {
+    options_.budget->Settle(*reservation_, record);
+    return;
+  }
+  if (reservation_) options_.budget->Release(*reservation_);
+  options_.journal->Append(record);
+}
+
+void RequestRun::SettleClaim() {
+  if (!claim_ || kept_) return;
+  if (result_.verdict == Verdict::kNotRun) {
+    options_.claims->Release(*claim_);
+    return;
+  }
+  options_.claims->MarkInDoubt(*claim_);
+}
+
+RequestRecord RequestRun::MakeRecord() const {
+  RequestRecord record{.request = request_.id,
+                       .customer = request_.customer,
+                       .budget = request_.budget,
+                       .model = request_.model,
+                       .instance = options_.instance,
+                       .zone = options_.zone,
+                       .verdict = result_.verdict,
+                       .reason = result_.reason,
+                       .billed = BilledTokens(),
+                       .attempts = attempts_,
+                       .started = started_,
+                       .finished = options_.clock->Now()};
+  if (pool_ != nullptr) record.pool = pool_->id;
+  if (target_) record.target = target_->id;
+  if (relay_ && relay_->usage()) {
+    record.prompt_tokens = relay_->usage()->prompt;
+    record.output_tokens = relay_->usage()->output;
+  } else if (relay_) {
+    record.output_tokens =
+        Tokens(static_cast<std::int64_t>(relay_->output_events()));
+  }
+  return record;
+}
+
+// A whole answer costs what the engine counted; a broken one only the events
+// that its caller has, and the prompt too if it was the caller who left.
+Tokens RequestRun::BilledTokens() const {
+  if (!reservation_ || result_.verdict == Verdict::kNotRun) return Tokens();
+  if (request_.kind == CallKind::kService) {
+    const bool served = whole_ && relay_->status() < kFirstServerError;
+    return served ? worst_case_ : Tokens();
+  }
+  const std::optional<ChatUsage>& usage = relay_->usage();
+  const Tokens events(static_cast<std::int64_t>(relay_->output_events()));
+  Tokens cost = usage ? usage->prompt + usage->output : events;
+  if (whole_ && relay_->status() >= kFirstErrorStatus && !usage) {
+    return Tokens();
+  }
+  if (whole_ && !usage) {
+    cost = request_.streamed ? request_.prompt_bound + events : worst_case_;
+  }
+  if (result_.reason == Reason::kCallerGone && !whole_ && !usage) {
+    cost = request_.prompt_bound + events;
+  }
+  return std::min(cost, worst_case_);
+}
+
+bool RequestRun::Fail(Reason reason, std::string detail) {
+  result_.reason = reason;
+  result_.detail = std::move(detail);
+  if (attempts_ == 0) options_.counters->Refused(reason);
+  return false;
+}
+
+int RequestRun::PoolCapacity() const {
+  const int targets = options_.selector->Available(pool_->id);
+  const auto limit = static_cast<int>(pool_->max_in_flight_per_target);
+  return std::max(1, targets * limit / std::max(1, instances_));
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/request/request_run.h
@@ -0,0 +1,95 @@
+#ifndef WISTERIAREEL_SRC_REQUEST_REQUEST_RUN_H_
+#define WISTERIAREEL_SRC_REQUEST_REQUEST_RUN_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "src/request/answer_relay.h"
+#include "src/request/request_service.h"
+
+namespace wisteriareel {
+
+// Serves one request, from its admission to its record. Used once, on one
+// thread.
+class RequestRun {
+ public:
+  RequestRun(const RequestServiceOptions& options, const RetryPolicy& policy,
+             RetryBudget* retry_budget, int instances,
+             const CallerRequest& request, AnswerWriter* writer);
+
+  RequestRun(const RequestRun&) = delete;
+  RequestRun& operator=(const RequestRun&) = delete;
+
+  // Returns how the request ended. Its record is in the journal.
+  CallResult Run();
+
+ private:
+  // Steps of Run; each returns false after having set the result.
+  bool LookUp();
+  bool Prepare();
+  bool Admit();
+  bool AcquireClaim();
+  bool Reserve();
+  void Dispatch();
+
+  bool LookUpPool();
+  bool NeedsClaim() const;
+  bool GiveKeptAnswer(const ClaimReply& reply);
+  int PoolCapacity() const;
+  // One attempt at `target_`; returns what follows it.
+  NextAction Attempt();
+  TargetCall MakeCall() const;
+  void ReportAttempt(const TargetOutcome& outcome, bool whole);
+  // Chooses the target of the next attempt. Returns false if there is none.
+  bool ChooseTarget(NextStep step);
+  // Waits before a repeat. Returns false if it may not be made.
+  bool MayRepeat(const NextAction& action);
+  void Deliver();
+  void GiveUp(Reason reason);
+
+  // Ends what Admit, AcquireClaim and Reserve began.
+  void Settle();
+  void SettleClaim();
+  RequestRecord MakeRecord() const;
+  Tokens BilledTokens() const;
+  bool Fail(Reason reason, std::string detail = {});
+
+  const RequestServiceOptions& options_;
+  const RetryPolicy& policy_;
+  RetryBudget* const retry_budget_;
+  // Live instances that share each pool.
+  const int instances_;
+  const CallerRequest& request_;
+  AnswerWriter* const writer_;
+
+  const absl::Time started_;
+  absl::Time deadline_;
+  std::shared_ptr<const ConfigSnapshot> config_;
+  const Pool* pool_ = nullptr;
+  const Customer* customer_ = nullptr;
+  bool idempotent_ = false;
+  bool deterministic_ = false;
+  std::string body_;
+  Tokens worst_case_;
+
+  std::optional<AdmissionRequest> admission_;
+  std::optional<Claim> claim_;
+  std::optional<Reservation> reservation_;
+  std::unique_ptr<AnswerRelay> relay_;
+
+  std::optional<PickedTarget> target_;
+  std::vector<TargetId> avoided_;
+  int attempts_ = 0;
+  int fruitless_resumes_ = 0;
+  bool resuming_ = false;
+  bool whole_ = false;
+  bool kept_ = false;
+  CallResult result_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_REQUEST_REQUEST_RUN_H_
--- /dev/null
+++ b/src/request/request_service.cc
@@ -0,0 +1,102 @@
+#include "src/request/request_service.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "absl/strings/str_cat.h"
+#include "src/request/request_run.h"
+
+namespace wisteriareel {
+namespace {
+
+// How often a drain looks at the service's clock, in real time.
+constexpr std::chrono::milliseconds kDrainPoll(10);
+constexpr absl::Duration kInstanceCountAge = absl::Seconds(1);
+constexpr absl::Duration kDrainRetryAfter = absl::Seconds(1);
+
+}  // namespace
+
+RequestService::RequestService(const RequestServiceOptions& options)
+    : options_(options),
+      policy_(options.retries),
+      retry_budget_(options.retry_budget) {}
+
+CallResult RequestService::Handle(const CallerRequest& request,
+                                  AnswerWriter* writer) {
+  options_.counters->Add(Counter::kRequests, 1);
+  if (!Begin()) return RefuseDraining(request);
+  CallResult result =
+      RequestRun(options_, policy_, &retry_budget_, Instances(), request,
+                 writer)
+          .Run();
+  End();
+  return result;
+}
+
+bool RequestService::Begin() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (draining_) return false;
+  ++in_flight_;
+  return true;
+}
+
+void RequestService::End() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (--in_flight_ == 0) ended_.notify_all();
+}
+
+CallResult RequestService::RefuseDraining(const CallerRequest& request) {
+  options_.counters->Refused(Reason::kDraining);
+  const absl::Time now = options_.clock->Now();
+  options_.journal->Append(RequestRecord{.request = request.id,
+                                         .customer = request.customer,
+                                         .budget = request.budget,
+                                         .model = request.model,
+                                         .instance = options_.instance,
+                                         .zone = options_.zone,
+                                         .reason = Reason::kDraining,
+                                         .started = now,
+                                         .finished = now});
+  return CallResult{.reason = Reason::kDraining,
+                    .retry_after = kDrainRetryAfter,
+                    .answered_request = request.id};
+}
+
+// Counting members copies their list, so the count is kept for a moment.
+int RequestService::Instances() {
+  if (options_.membership == nullptr) return 1;
+  std::lock_guard<std::mutex> lock(mutex_);
+  const absl::Time now = options_.clock->Now();
+  if (now < instances_counted_ + kInstanceCountAge) return instances_;
+  int alive = 0;
+  for (const Member& member : options_.membership->AllMembers()) {
+    if (member.state == MemberState::kAlive) ++alive;
+  }
+  instances_ = std::max(1, alive);
+  instances_counted_ = now;
+  return instances_;
+}
+
+RequestDrainReport RequestService::Drain(absl::Time deadline) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  draining_ = true;
+  const absl::Time begun = options_.clock->Now();
+  RequestDrainReport report{.in_flight_at_start = in_flight_};
+  while (in_flight_ > 0 && options_.clock->Now() < deadline) {
+    ended_.wait_for(lock, kDrainPoll);
+  }
+  report.in_flight_left = in_flight_;
+  report.took = options_.clock->Now() - begun;
+  options_.events->Write(EventId::kRequestsDrained, Severity::kInfo,
+                         "waited for the requests in flight",
+                         {{"at_start", absl::StrCat(report.in_flight_at_start)},
+                          {"left", absl::StrCat(report.in_flight_left)}});
+  return report;
+}
+
+int RequestService::InFlight() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return in_flight_;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/request/request_service.h
@@ -0,0 +1,118 @@
+#ifndef WISTERIAREEL_SRC_REQUEST_REQUEST_SERVICE_H_
+#define WISTERIAREEL_SRC_REQUEST_REQUEST_SERVICE_H_
+
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+
+#include "absl/time/time.h"
+#include "src/request/admission.h"
+#include "src/request/claim_keeper.h"
+#include "src/request/retry_budget.h"
+#include "src/request/retry_policy.h"
+#include "src/routing/target_selector.h"
+#include "wisteriareel/budget_gate.h"
+#include "wisteriareel/clock.h"
+#include "wisteriareel/config_snapshot.h"
+#include "wisteriareel/counters.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/membership_view.h"
+#include "wisteriareel/random_source.h"
+#include "wisteriareel/request_handler.h"
+#include "wisteriareel/request_record.h"
+#include "wisteriareel/target_client.h"
+
+namespace wisteriareel {
+
+// Bounds on the time that a request may take.
+struct RequestTimeouts {
+  // Longest life of a request whose caller set no deadline.
+  absl::Duration chat = absl::Minutes(10);
+  absl::Duration service = absl::Seconds(60);
+  // Longest wait for a claim or for its outcome to be kept.
+  absl::Duration claim = absl::Seconds(3);
+  // Longest wait for a grant that covers a reservation.
+  absl::Duration reserve = absl::Seconds(2);
+  absl::Duration connect = absl::Seconds(1);
+  // Longest silence of a stream, and of a target before its first byte.
+  absl::Duration stream_progress = absl::Milliseconds(1500);
+  absl::Duration stream_first_byte = absl::Seconds(15);
+};
+
+// Members are not owned and outlive the service. `claims`, `admission` and
+// `membership` may be null: non-idempotent calls are then refused, nothing is
+// queued, and this instance counts as the only one.
+struct RequestServiceOptions {
+  InstanceId instance;
+  ZoneId zone;
+  const ConfigView* config = nullptr;
+  BudgetGate* budget = nullptr;
+  RecordJournal* journal = nullptr;
+  TargetClient* targets = nullptr;
+  TargetSelector* selector = nullptr;
+  ClaimKeeper* claims = nullptr;
+  Admission* admission = nullptr;
+  const MembershipView* membership = nullptr;
+  Clock* clock = SystemClock();
+  RandomSource* random = nullptr;
+  Counters* counters = DiscardCounters();
+  EventLog* events = DiscardEvents();
+  RequestTimeouts timeouts;
+  RetryPolicyOptions retries;
+  RetryBudgetOptions retry_budget;
+  // Bytes of a plain answer, or of a stream that is kept for retries.
+  std::size_t max_answer_bytes = 16u << 20;
+};
+
+// What a shutdown left behind.
+struct RequestDrainReport {
+  int in_flight_at_start = 0;
+  int in_flight_left = 0;
+  absl::Duration took;
+
+  friend bool operator==(const RequestDrainReport&,
+                         const RequestDrainReport&) = default;
+};
+
+// Serves callers: admits a request, claims it if it must not run twice,
+// reserves its worst case, runs it at a target and settles it. Every request
+// ends with a verdict and a record. Thread-safe.
+class RequestService final : public RequestHandler {
+ public:
+  explicit RequestService(const RequestServiceOptions& options);
+
+  RequestService(const RequestService&) = delete;
+  RequestService& operator=(const RequestService&) = delete;
+
+  CallResult Handle(const CallerRequest& request,
+                    AnswerWriter* writer) override;
+
+  // Refuses new requests with kDraining and waits for those in flight until
+  // `deadline` by the service's clock. May be called again.
+  RequestDrainReport Drain(absl::Time deadline);
+
+  // Returns how many requests are being served.
+  int InFlight() const;
+
+ private:
+  bool Begin();
+  void End();
+  CallResult RefuseDraining(const CallerRequest& request);
+  // Returns how many live instances share the pools.
+  int Instances();
+
+  const RequestServiceOptions options_;
+  const RetryPolicy policy_;
+  RetryBudget retry_budget_;
+
+  mutable std::mutex mutex_;
+  std::condition_variable ended_;
+  int in_flight_ = 0;
+  bool draining_ = false;
+  int instances_ = 1;
+  absl::Time instances_counted_ = absl::InfinitePast();
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_REQUEST_REQUEST_SERVICE_H_
