--- a/include/wisteriareel/target_client.h
+++ b/include/wisteriareel/target_client.h
@@ -35,6 +35,9 @@
   absl::Duration connect_timeout;
   // Longest silence on the connection before the attempt is given up.
   absl::Duration progress_timeout;
+  // Longest silence before the first byte of the answer's body; zero stands
+  // for progress_timeout.
+  absl::Duration first_byte_timeout;
   absl::Time deadline = absl::InfiniteFuture();
 };
 
@@ -47,10 +50,12 @@
   // Receives the status and content type, once, before any body.
   virtual void OnHead(int status, std::string_view content_type) = 0;
 
-  // Receives body bytes in order: for a streamed call exactly one whole
-  // server-sent event with its position (from zero), the blank line that ends
-  // it included; else any piece. The end marker of a stream is not handed
-  // over. Returns false to give the attempt up.
+  // Receives body bytes in order. For a streamed call that is answered with
+  // 200 and text/event-stream: exactly one whole server-sent event, the blank
+  // line that ends it included, with its position in the whole answer, from
+  // zero (a resumed stream goes on at the resume offset). The end marker is
+  // not handed over. Else: any piece, with the offset of its first byte in
+  // the body. Returns false to give the attempt up.
   virtual bool OnData(std::uint64_t position, std::string_view bytes) = 0;
 };
 
--- a/src/request/chat_codec.cc
+++ b/src/request/chat_codec.cc
@@ -94,8 +94,7 @@
   } else {
     json.erase("stream_options");
   }
-  prepared.bytes =
-      json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  prepared.bytes = json.dump(-1, ' ', false, Json::error_handler_t::replace);
   return prepared;
 }
 
@@ -121,10 +120,10 @@
   const std::string_view data = DataOf(event);
   const Json json = ParseObject(data);
   const auto it = json.find("choices");
-  const std::string text = it == json.end()
-                               ? std::string(data)
-                               : it->dump(-1, ' ', false,
-                                          Json::error_handler_t::replace);
+  const std::string text =
+      it == json.end()
+          ? std::string(data)
+          : it->dump(-1, ' ', false, Json::error_handler_t::replace);
   return absl::HashOf(text);
 }
 
--- a/src/request/request_run.cc
+++ b/src/request/request_run.cc
@@ -155,9 +155,9 @@
 bool RequestRun::GiveKeptAnswer(const ClaimReply& reply) {
   result_.verdict = Verdict::kRan;
   result_.answered_request = reply.earlier;
-  const bool given = writer_->WriteHead(reply.kept->status,
-                                        reply.kept->content_type) &&
-                     writer_->WriteData(reply.kept->body) && writer_->Finish();
+  const bool given =
+      writer_->WriteHead(reply.kept->status, reply.kept->content_type) &&
+      writer_->WriteData(reply.kept->body) && writer_->Finish();
   if (!given) return Fail(Reason::kCallerGone);
   options_.counters->Add(Counter::kAnswersWhole, 1);
   return false;
@@ -247,6 +247,7 @@
 
 TargetCall RequestRun::MakeCall() const {
   TargetCall call{.request = request_.id,
+                  .idempotency_key = request_.idempotency_key,
                   .attempt = attempts_,
                   .target = target_->id,
                   .endpoint = target_->endpoint,
@@ -274,8 +275,8 @@
                          relay_->fault() == RelayFault::kTooLarge;
   const bool failed =
       (!whole && !blameless) || outcome.status >= kFirstServerError;
-  options_.selector->Finished(pool_->id, {.target = target_->id,
-                                          .failed = failed},
+  options_.selector->Finished(pool_->id,
+                              {.target = target_->id, .failed = failed},
                               options_.clock->Now());
   if (failed) avoided_.push_back(target_->id);
 }
--- a/src/request/request_service.cc
+++ b/src/request/request_service.cc
@@ -25,10 +25,9 @@
                                   AnswerWriter* writer) {
   options_.counters->Add(Counter::kRequests, 1);
   if (!Begin()) return RefuseDraining(request);
-  CallResult result =
-      RequestRun(options_, policy_, &retry_budget_, Instances(), request,
-                 writer)
-          .Run();
+  CallResult result = RequestRun(options_, policy_, &retry_budget_, Instances(),
+                                 request, writer)
+                          .Run();
   End();
   return result;
 }
--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -21,8 +21,7 @@
 RetryBudget::Recent& RetryBudget::Decayed(const PoolId& pool, absl::Time now) {
   Recent& recent = pools_[pool];
   if (now <= recent.at) return recent;
-  const double windows =
-      absl::FDivDuration(now - recent.at, options_.window);
+  const double windows = absl::FDivDuration(now - recent.at, options_.window);
   const double kept = std::exp(-windows);
   recent.requests *= kept;
   recent.repeats *= kept;
--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -23,8 +23,7 @@
 // pool is not buried under them. Thread-safe.
 class RetryBudget {
  public:
-  explicit RetryBudget(const RetryBudgetOptions& options)
-      : options_(options) {}
+  explicit RetryBudget(const RetryBudgetOptions& options) : options_(options) {}
 
   RetryBudget(const RetryBudget&) = delete;
   RetryBudget& operator=(const RetryBudget&) = delete;
--- a/src/routing/fleet_selector.cc
+++ b/src/routing/fleet_selector.cc
@@ -110,19 +110,19 @@
 
 PoolRoutes FleetSelector::BuildPool(const ConfigSnapshot& config,
                                     const Pool& pool) {
-  PoolRoutes routes{
-      .kind = pool.kind,
-      .max_in_flight_per_target =
-          static_cast<int>(std::max(1u, pool.max_in_flight_per_target))};
+  PoolRoutes routes{.kind = pool.kind,
+                    .max_in_flight_per_target = static_cast<int>(
+                        std::max(1u, pool.max_in_flight_per_target))};
   for (const Target* target : config.TargetsOf(pool.id)) {
     const bool leaving = Leaving(*target);
     if (!leaving) ++routes.available;
-    routes.targets.push_back(RoutedTarget{.id = target->id,
-                                          .endpoint = target->endpoint,
-                                          .zone = target->zone,
-                                          .local = target->zone == options_.zone,
-                                          .leaving = leaving,
-                                          .state = StateOf(target->id)});
+    routes.targets.push_back(
+        RoutedTarget{.id = target->id,
+                     .endpoint = target->endpoint,
+                     .zone = target->zone,
+                     .local = target->zone == options_.zone,
+                     .leaving = leaving,
+                     .state = StateOf(target->id)});
   }
   return routes;
 }
--- /dev/null
+++ b/standin/fakes/fake_target_client.cc
@@ -0,0 +1,222 @@
+#include "standin/fakes/fake_target_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusError = 500;
+constexpr int kStatusUnavailable = 503;
+
+TargetOutcome Ended(Verdict verdict, Reason reason, int status = 0) {
+  return {.verdict = verdict, .reason = reason, .status = status};
+}
+
+bool StopsInTheMiddle(AttemptFault fault) {
+  return fault == AttemptFault::kCut || fault == AttemptFault::kSilent ||
+         fault == AttemptFault::kLateParts;
+}
+
+}  // namespace
+
+void FakeTargetClient::Script(std::vector<AttemptFault> faults) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  script_.assign(faults.begin(), faults.end());
+}
+
+void FakeTargetClient::OnSend(std::function<void(const TargetCall&)> hook) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  hook_ = std::move(hook);
+}
+
+TargetOutcome FakeTargetClient::Send(const TargetCall& call, TargetSink* sink,
+                                     const std::atomic<bool>& /*cancelled*/) {
+  const AttemptFault fault = NextFault();
+  if (hook_) hook_(call);
+  DeliverLateParts();
+  switch (fault) {
+    case AttemptFault::kUnreachable:
+      return Ended(Verdict::kNotRun, Reason::kTargetUnreachable);
+    case AttemptFault::kRefusedUnexecuted:
+      sink->OnHead(kStatusUnavailable, "application/json");
+      sink->OnData(0, "{}");
+      return {.verdict = Verdict::kNotRun,
+              .reason = Reason::kPoolSaturated,
+              .status = kStatusUnavailable,
+              .complete = true,
+              .delivered = 2};
+    case AttemptFault::kLostCall:
+      clock_->Advance(call.progress_timeout);
+      return Ended(Verdict::kMayHaveRun, Reason::kStreamStalled);
+    default:
+      break;
+  }
+  if (fault == AttemptFault::kRestarted) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    runs_.erase(call.request);
+  }
+  if (call.resume_offset > 0 && !Knows(call)) {
+    return Ended(Verdict::kNotRun, Reason::kNotFound, 404);
+  }
+  if (call.resume_offset == 0) Execute(call);
+  if (fault == AttemptFault::kLostAnswer) {
+    clock_->Advance(call.progress_timeout);
+    return Ended(Verdict::kMayHaveRun, Reason::kStreamStalled);
+  }
+  if (fault == AttemptFault::kServerError) {
+    sink->OnHead(kStatusError, "text/plain");
+    sink->OnData(0, "failed");
+    return {.verdict = Verdict::kRan,
+            .status = kStatusError,
+            .complete = true,
+            .delivered = 6};
+  }
+  return SendParts(call, fault, sink);
+}
+
+void FakeTargetClient::Cancel(const TargetCall& /*call*/) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ++cancels_;
+}
+
+int FakeTargetClient::Executions(const IdempotencyKey& key) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = by_key_.find(key);
+  return it == by_key_.end() ? 0 : it->second;
+}
+
+int FakeTargetClient::Executions(const RequestId& request) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = by_request_.find(request);
+  return it == by_request_.end() ? 0 : it->second;
+}
+
+int FakeTargetClient::sends() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return sends_;
+}
+
+int FakeTargetClient::cancels() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return cancels_;
+}
+
+std::string FakeTargetClient::Answer(const RequestId& request,
+                                     bool streamed) const {
+  std::string answer;
+  for (int i = 0; i < options_.parts; ++i) {
+    answer += Part(request, streamed, i);
+  }
+  return answer;
+}
+
+AttemptFault FakeTargetClient::NextFault() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ++sends_;
+  if (script_.empty()) return AttemptFault::kNone;
+  const AttemptFault fault = script_.front();
+  script_.pop_front();
+  return fault;
+}
+
+void FakeTargetClient::Execute(const TargetCall& call) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  ++by_key_[call.idempotency_key];
+  ++by_request_[call.request];
+  runs_[call.request] = call.target;
+}
+
+bool FakeTargetClient::Knows(const TargetCall& call) const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = runs_.find(call.request);
+  return it != runs_.end() && it->second == call.target;
+}
+
+void FakeTargetClient::DeliverLateParts() {
+  std::vector<LateParts> late;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    late.swap(late_);
+  }
+  for (const LateParts& parts : late) {
+    for (int i = 0; i < options_.parts; ++i) {
+      SendPart(parts.call, i, parts.sink);
+    }
+  }
+}
+
+TargetOutcome FakeTargetClient::SendParts(const TargetCall& call,
+                                          AttemptFault fault,
+                                          TargetSink* sink) {
+  const int count = PartCount(call.streamed);
+  const int begin = static_cast<int>(call.resume_offset);
+  const int middle = begin + (count - begin) / 2;
+  TargetOutcome outcome{.verdict = Verdict::kMayHaveRun,
+                        .reason = Reason::kAnswerIncomplete,
+                        .status = kStatusOk};
+  sink->OnHead(kStatusOk,
+               call.streamed ? "text/event-stream" : "application/json");
+  for (int i = begin; i < count; ++i) {
+    if (i == middle && StopsInTheMiddle(fault)) {
+      if (fault == AttemptFault::kSilent) {
+        clock_->Advance(call.progress_timeout);
+        outcome.reason = Reason::kStreamStalled;
+      }
+      if (fault == AttemptFault::kLateParts) {
+        std::lock_guard<std::mutex> lock(mutex_);
+        late_.push_back({sink, call});
+      }
+      return outcome;
+    }
+    if (i == middle && fault == AttemptFault::kGap) continue;
+    clock_->Advance(options_.part_interval);
+    const int copies = fault == AttemptFault::kDuplicates ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      if (!SendPart(call, i, sink)) return outcome;
+      ++outcome.delivered;
+    }
+  }
+  if (fault == AttemptFault::kCutBeforeEnd) return outcome;
+  outcome.verdict = Verdict::kRan;
+  outcome.reason = Reason::kNone;
+  outcome.complete = true;
+  return outcome;
+}
+
+bool FakeTargetClient::SendPart(const TargetCall& call, int index,
+                                TargetSink* sink) const {
+  return sink->OnData(PositionOf(call, index),
+                      Part(call.request, call.streamed, index));
+}
+
+std::string FakeTargetClient::Part(const RequestId& request, bool streamed,
+                                   int index) const {
+  if (!streamed) return absl::StrCat("<", request.value(), "#", index, ">");
+  if (index < options_.parts) {
+    return absl::StrCat("data: {\"choices\":[{\"delta\":{\"content\":\"",
+                        request.value(), "#", index, "\"}}]}\n\n");
+  }
+  return absl::StrCat("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":",
+                      options_.prompt_tokens,
+                      ",\"completion_tokens\":", options_.parts, "}}\n\n");
+}
+
+std::uint64_t FakeTargetClient::PositionOf(const TargetCall& call,
+                                           int index) const {
+  if (call.streamed) return static_cast<std::uint64_t>(index);
+  std::uint64_t offset = 0;
+  for (int i = 0; i < index; ++i) {
+    offset += Part(call.request, false, i).size();
+  }
+  return offset;
+}
+
+int FakeTargetClient::PartCount(bool streamed) const {
+  return options_.parts + (streamed ? 1 : 0);
+}
+
+}  // namespace wisteriareel
--- a/test/request_tests.cmake
+++ b/test/request_tests.cmake
@@ -0,0 +1,1 @@
+wisteriareel_test(request_service_test LIBRARIES wisteriareel_request)
