--- a/src/request/chat_codec.cc
+++ b/src/request/chat_codec.cc
@@ -11,10 +11,10 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kDataField = "data:";
+constexpr std::string_view kBlank = " \r\n";
 constexpr std::uint32_t kMaxChoices = 128;
 
 std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlank = " \r\n";
   const std::size_t begin = text.find_first_not_of(kBlank);
   if (begin == std::string_view::npos) return {};
   return text.substr(begin, text.find_last_not_of(kBlank) - begin + 1);
--- a/src/request/retry_policy.cc
+++ b/src/request/retry_policy.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr int kFirstErrorStatus = 400;
+constexpr int kMaxDoublings = 16;
 constexpr int kFirstServerError = 500;
 
 Reason FaultReason(RelayFault fault) {
@@ -62,7 +63,6 @@
 }
 
 absl::Duration RetryPolicy::Pause(int attempts, double fraction) const {
-  constexpr int kMaxDoublings = 16;
   const int doublings = std::min(attempts - 1, kMaxDoublings);
   const absl::Duration range =
       std::min(options_.max_pause, options_.base_pause * (1 << doublings));
