Hold prepaid budgets by leased grants, with records in batches

Cause: nothing kept spend within the top-ups. Change: GrantKeeper spends from grants that are ordered, renewed, returned and reported by conditional transactions with order ids; GrantReclaimer writes off what a holder that went away may have spent; JournalWriter and StoreRecordReader keep and find records; TableBudgetAdmin takes top-ups once per order.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -20,6 +20,9 @@
 
   // 1100-1199 platform.
   // 1200-1299 budget.
+  kGrantsReclaimed = 1200,
+  kRecordsWait = 1201,
+  kHolderReclaimed = 1202,
   // 1300-1399 request.
   kClaimInDoubt = 1300,
   kClaimReleasePending = 1301,
--- a/include/wisteriareel/reason.h
+++ b/include/wisteriareel/reason.h
@@ -34,6 +34,7 @@
   kGrantLeaseLapsed = 202,
   kBudgetUnknown = 203,
   kBudgetPlatformAway = 204,
+  kRecordJournalFull = 205,
 
   // 300-399 request.
   kClaimHeldElsewhere = 300,
--- a/include/wisteriareel/request_record.h
+++ b/include/wisteriareel/request_record.h
@@ -1,6 +1,8 @@
 #ifndef WISTERIAREEL_REQUEST_RECORD_H_
 #define WISTERIAREEL_REQUEST_RECORD_H_
 
+#include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,6 +31,9 @@
   Tokens output_tokens;
   // Charged to the budget; zero for a request that was not run.
   Tokens billed;
+  // Number of the grant that covered the request; with `instance` it names
+  // the holder whose account is charged.
+  std::uint64_t grant = 0;
   int attempts = 0;
   absl::Time started;
   absl::Time finished;
@@ -36,6 +41,11 @@
   friend bool operator==(const RequestRecord&, const RequestRecord&) = default;
 };
 
+// Told of a batch of records that is in the object store. The numbers of one
+// journal's batches grow.
+using KeptObserver = std::function<void(
+    std::uint64_t number, const std::vector<RequestRecord>& records)>;
+
 // Keeps records until they are in the object store. Thread-safe; Append does
 // not block on the platform.
 class RecordJournal {
@@ -43,6 +53,15 @@
   virtual ~RecordJournal() = default;
 
   virtual void Append(const RequestRecord& record) = 0;
+
+  // Returns false while no further record may be caused, because those that
+  // wait for the object store fill the memory set aside for them.
+  virtual bool HasRoom() const { return true; }
+
+  // Has `observer` called once for each batch that has reached the object
+  // store, in the order of their numbers, on the thread that writes. To be
+  // set before the first Append.
+  virtual void SetKeptObserver(const KeptObserver& /*observer*/) {}
 };
 
 // Reads records back for reports. Thread-safe; blocks up to the timeout.
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -41,6 +41,8 @@
       return "budget_unknown";
     case Reason::kBudgetPlatformAway:
       return "budget_platform_away";
+    case Reason::kRecordJournalFull:
+      return "record_journal_full";
 
     case Reason::kClaimHeldElsewhere:
       return "claim_held_elsewhere";
--- /dev/null
+++ b/src/budget/grant_keeper.cc
@@ -0,0 +1,239 @@
+#include "src/budget/grant_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(250);
+
+RequestRecord ForAccount(const RequestRecord& record,
+                         const Reservation& reservation,
+                         const InstanceId& instance) {
+  RequestRecord copy = record;
+  copy.request = reservation.request;
+  copy.budget = reservation.budget;
+  copy.grant = reservation.grant;
+  copy.instance = instance;
+  copy.billed = std::clamp(record.billed, Tokens(0), reservation.amount);
+  return copy;
+}
+
+}  // namespace
+
+GrantKeeper::GrantKeeper(const GrantKeeperOptions& options,
+                         const GrantKeeperParts& parts)
+    : options_(options), parts_(parts), holders_(options.holders) {
+  StartHolding();
+  parts_.journal->SetKeptObserver(
+      [this](std::uint64_t number, const std::vector<RequestRecord>& records) {
+        OnKept(number, records);
+      });
+}
+
+void GrantKeeper::StartHolding() {
+  auto holding =
+      std::make_unique<Holding>(options_, parts_.random->Next(), parts_.table,
+                                parts_.policy, parts_.clock, parts_.counters);
+  std::lock_guard<std::mutex> lock(holdings_mutex_);
+  current_.store(holding.get(), std::memory_order_release);
+  holdings_.push_back(std::move(holding));
+}
+
+Holding* GrantKeeper::Find(std::uint64_t number) {
+  Holding* current = Current();
+  if (current->number() == number) return current;
+  std::lock_guard<std::mutex> lock(holdings_mutex_);
+  for (const auto& holding : holdings_) {
+    if (holding->number() == number) return holding.get();
+  }
+  return nullptr;
+}
+
+std::vector<Holding*> GrantKeeper::AllHoldings() {
+  std::lock_guard<std::mutex> lock(holdings_mutex_);
+  std::vector<Holding*> all;
+  for (const auto& holding : holdings_) all.push_back(holding.get());
+  return all;
+}
+
+std::optional<Reservation> GrantKeeper::Reserve(const BudgetId& budget,
+                                                const RequestId& request,
+                                                Tokens worst_case,
+                                                absl::Time deadline,
+                                                LastReason* reason) {
+  Reason refusal = Reason::kNone;
+  if (draining_) refusal = Reason::kDraining;
+  if (!parts_.journal->HasRoom()) refusal = Reason::kRecordJournalFull;
+  if (worst_case < Tokens(0)) refusal = Reason::kMalformed;
+  if (refusal != Reason::kNone) {
+    parts_.counters->Refused(refusal);
+    reason->Set(refusal, budget.value());
+    return std::nullopt;
+  }
+
+  const std::int64_t amount = worst_case.value();
+  Holding* holding = Current();
+  Account* account = holding->accounts().FindOrMake(budget);
+  account->NoteWorstCase(amount);
+  refusal = holding->TryReserve(account, amount);
+  if (refusal == Reason::kNone) {
+    return Reservation{.budget = budget,
+                       .request = request,
+                       .amount = worst_case,
+                       .grant = holding->number()};
+  }
+  const absl::Time until =
+      std::min(deadline, parts_.clock->Now() + options_.patience);
+  return WaitForGrant(budget, request, amount, until, refusal, reason);
+}
+
+std::optional<Reservation> GrantKeeper::WaitForGrant(
+    const BudgetId& budget, const RequestId& request, std::int64_t amount,
+    absl::Time until, Reason refusal, LastReason* reason) {
+  ++waiting_;
+  bool woken = false;
+  while (true) {
+    std::uint64_t steps = 0;
+    {
+      std::lock_guard<std::mutex> lock(stepped_mutex_);
+      steps = steps_;
+    }
+    Holding* holding = Current();
+    Account* account = holding->accounts().FindOrMake(budget);
+    const std::uint64_t answers = account->answers;
+    account->Want(amount);
+    const Reason tried = holding->TryReserve(account, amount);
+    if (tried == Reason::kNone) {
+      --waiting_;
+      return Reservation{.budget = budget,
+                         .request = request,
+                         .amount = Tokens(amount),
+                         .grant = holding->number()};
+    }
+    if (!woken) Wake();
+    woken = true;
+
+    const absl::Duration left = until - parts_.clock->Now();
+    bool stepped = false;
+    if (left > absl::ZeroDuration()) {
+      std::unique_lock<std::mutex> lock(stepped_mutex_);
+      stepped = stepped_.wait_for(lock, absl::ToChronoNanoseconds(left),
+                                  [&] { return steps_ != steps; });
+    }
+    const Reason said = account->refusal;
+    refusal = said == Reason::kNone ? tried : said;
+    const bool final =
+        account->answers != answers &&
+        (said == Reason::kBudgetExhausted || said == Reason::kBudgetUnknown);
+    if (stepped && !final && !draining_) continue;
+    break;
+  }
+  --waiting_;
+  parts_.counters->Refused(refusal);
+  reason->Set(refusal, budget.value());
+  return std::nullopt;
+}
+
+void GrantKeeper::Wake() {
+  if (wake_) wake_();
+}
+
+void GrantKeeper::Settle(const Reservation& reservation,
+                         const RequestRecord& record) {
+  Holding* holding = Find(reservation.grant);
+  if (holding == nullptr) return;
+  const RequestRecord charged =
+      ForAccount(record, reservation, options_.instance);
+  Account* account = holding->accounts().FindOrMake(reservation.budget);
+  account->Charge(reservation.amount.value(), charged.billed.value());
+  parts_.journal->Append(charged);
+  parts_.counters->Add(Counter::kTokensBilled,
+                       static_cast<std::uint64_t>(charged.billed.value()));
+}
+
+void GrantKeeper::Release(const Reservation& reservation) {
+  Holding* holding = Find(reservation.grant);
+  if (holding == nullptr) return;
+  Account* account = holding->accounts().FindOrMake(reservation.budget);
+  account->Put(reservation.amount.value());
+}
+
+void GrantKeeper::OnKept(std::uint64_t number,
+                         const std::vector<RequestRecord>& records) {
+  for (Holding* holding : AllHoldings()) holding->NoteKept(number, records);
+}
+
+absl::Duration GrantKeeper::Step() {
+  std::lock_guard<std::mutex> step_lock(step_mutex_);
+  const int holders = std::max(1, holders_.load());
+  HoldingStep total;
+  for (Holding* holding : AllHoldings()) {
+    const bool retired = holding != Current();
+    if (retired && holding->Settled()) continue;
+    const HoldingStep step = holding->Step(holders);
+    total.more |= step.more;
+    total.platform_reached &= step.platform_reached;
+  }
+  if (Current()->reclaimed()) {
+    parts_.events->Write(
+        EventId::kGrantsReclaimed, Severity::kWarning,
+        "this instance's grants were reclaimed after their lease lapsed",
+        {{"holder", HolderName(options_.instance, Current()->number())}});
+    StartHolding();
+  }
+  {
+    std::lock_guard<std::mutex> lock(stepped_mutex_);
+    ++steps_;
+    stepped_.notify_all();
+  }
+  if (!total.platform_reached) return kRetryDelay;
+  if (total.more) return absl::ZeroDuration();
+  if (waiting_ > 0) return std::min(kRetryDelay, options_.poll_interval);
+  return options_.poll_interval;
+}
+
+void GrantKeeper::BeginDrain() {
+  draining_ = true;
+  for (Holding* holding : AllHoldings()) holding->GiveUp();
+}
+
+bool GrantKeeper::FinishDrain() {
+  Step();
+  std::lock_guard<std::mutex> step_lock(step_mutex_);
+  for (Holding* holding : AllHoldings()) {
+    if (!holding->Settled()) return false;
+  }
+  return Current()->Close();
+}
+
+KeeperBalance GrantKeeper::Balance() {
+  std::lock_guard<std::mutex> step_lock(step_mutex_);
+  KeeperBalance balance;
+  for (Holding* holding : AllHoldings()) {
+    for (const Account* account : holding->accounts().All()) {
+      balance.available += Tokens(account->available() + account->withheld);
+      balance.reserved += Tokens(account->reserved());
+      balance.unreported += Tokens(account->settled() - account->reported);
+    }
+  }
+  return balance;
+}
+
+KeeperBalance GrantKeeper::BalanceOf(const BudgetId& budget) {
+  std::lock_guard<std::mutex> step_lock(step_mutex_);
+  KeeperBalance balance;
+  for (Holding* holding : AllHoldings()) {
+    const Account* account = holding->accounts().Find(budget);
+    if (account == nullptr) continue;
+    balance.available += Tokens(account->available() + account->withheld);
+    balance.reserved += Tokens(account->reserved());
+    balance.unreported += Tokens(account->settled() - account->reported);
+  }
+  return balance;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/budget/grant_keeper.h
@@ -0,0 +1,124 @@
+#ifndef WISTERIAREEL_BUDGET_GRANT_KEEPER_H_
+#define WISTERIAREEL_BUDGET_GRANT_KEEPER_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "src/budget/holding.h"
+#include "src/budget/keeper_options.h"
+#include "wisteriareel/budget_gate.h"
+#include "wisteriareel/budget_sizing.h"
+#include "wisteriareel/clock.h"
+#include "wisteriareel/counters.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/random_source.h"
+#include "wisteriareel/request_record.h"
+#include "wisteriareel/table_service.h"
+
+namespace wisteriareel {
+
+// What a keeper still holds.
+struct KeeperBalance {
+  // Unreserved and not returned.
+  Tokens available;
+  // Taken by requests that have not ended.
+  Tokens reserved;
+  // Charged, and not yet reported to the table as settled.
+  Tokens unreported;
+
+  friend bool operator==(const KeeperBalance&, const KeeperBalance&) = default;
+};
+
+// Collaborators of a GrantKeeper; all must outlive it.
+struct GrantKeeperParts {
+  TableService* table = nullptr;
+  const SizingPolicy* policy = nullptr;
+  RecordJournal* journal = nullptr;
+  Clock* clock = nullptr;
+  RandomSource* random = nullptr;
+  Counters* counters = DiscardCounters();
+  EventLog* events = DiscardEvents();
+};
+
+// Spends prepaid budgets out of grants that this instance holds under a
+// lease. The request path touches only atomics of the budget concerned; Step,
+// run by one background loop, talks to the table. Thread-safe.
+class GrantKeeper final : public BudgetGate {
+ public:
+  GrantKeeper(const GrantKeeperOptions& options, const GrantKeeperParts& parts);
+
+  // Has `wake` called, on a request's thread, when a grant is waited for;
+  // meant for BackgroundLoop::Wake. To be set before the first Reserve.
+  void SetWake(std::function<void()> wake) { wake_ = std::move(wake); }
+
+  // Tells how many instances may draw on a budget.
+  void SetHolders(int holders) { holders_ = holders; }
+
+  std::optional<Reservation> Reserve(const BudgetId& budget,
+                                     const RequestId& request,
+                                     Tokens worst_case, absl::Time deadline,
+                                     LastReason* reason) override;
+  void Settle(const Reservation& reservation,
+              const RequestRecord& record) override;
+  void Release(const Reservation& reservation) override;
+
+  // Orders, renews, returns and reports grants as far as one transaction per
+  // holding goes. Returns how long to wait before the next step.
+  absl::Duration Step();
+
+  // Refuses further reservations; later steps return what is unreserved.
+  void BeginDrain();
+
+  // Returns true once everything is returned or reported and the holder's row
+  // is closed. Call after BeginDrain, again until true.
+  bool FinishDrain();
+
+  // Returns what is held, summed over all budgets.
+  KeeperBalance Balance();
+
+  // Returns what is held of `budget`.
+  KeeperBalance BalanceOf(const BudgetId& budget);
+
+ private:
+  Holding* Current() const { return current_.load(std::memory_order_acquire); }
+  // Returns the holding under grant number `number`, or null.
+  Holding* Find(std::uint64_t number);
+  std::vector<Holding*> AllHoldings();
+  void StartHolding();
+  void OnKept(std::uint64_t number, const std::vector<RequestRecord>& records);
+  std::optional<Reservation> WaitForGrant(const BudgetId& budget,
+                                          const RequestId& request,
+                                          std::int64_t amount, absl::Time until,
+                                          Reason refusal, LastReason* reason);
+  void Wake();
+
+  const GrantKeeperOptions options_;
+  const GrantKeeperParts parts_;
+  std::function<void()> wake_;
+  std::atomic<int> holders_;
+  std::atomic<bool> draining_ = false;
+  std::atomic<int> waiting_ = 0;
+
+  std::atomic<Holding*> current_ = nullptr;
+  std::mutex holdings_mutex_;
+  std::vector<std::unique_ptr<Holding>> holdings_;
+
+  // Serialises steps.
+  std::mutex step_mutex_;
+
+  // Wakes waiting reservations after each step.
+  std::mutex stepped_mutex_;
+  std::condition_variable stepped_;
+  std::uint64_t steps_ = 0;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_BUDGET_GRANT_KEEPER_H_
--- /dev/null
+++ b/src/budget/grant_reclaimer.cc
@@ -0,0 +1,213 @@
+#include "src/budget/grant_reclaimer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "src/budget/pool_reading.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr int kScanPage = 500;
+constexpr int kConflictTries = 4;
+// Hours of records looked through around a holder's last sign of life. Its
+// records older than that were reported to the table long before.
+constexpr std::int64_t kHoursBefore = 24;
+constexpr std::int64_t kHoursAfterLease = 2;
+
+// Returns the grant number that ends a holder's name.
+std::optional<std::uint64_t> GrantNumber(const std::string& holder) {
+  const std::size_t dot = holder.rfind('.');
+  std::uint64_t number = 0;
+  if (dot == std::string::npos) return std::nullopt;
+  if (!absl::SimpleHexAtoi(holder.substr(dot + 1), &number)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+GrantReclaimer::GrantReclaimer(const GrantReclaimerOptions& options,
+                               TableService* table, ObjectStore* store,
+                               Counters* counters, EventLog* events)
+    : options_(options),
+      table_(table),
+      records_(store),
+      counters_(counters),
+      events_(events) {}
+
+absl::Duration GrantReclaimer::ReclaimStep(absl::Time now) {
+  std::string after;
+  absl::flat_hash_set<std::string> seen;
+  while (true) {
+    LastReason reason;
+    const auto rows =
+        table_->Scan(kHolderTable, after, kScanPage, options_.timeout, &reason);
+    if (!rows) return options_.interval;
+    for (const Row& row : *rows) {
+      seen.insert(row.key.key);
+      Look(row, now);
+    }
+    if (rows->size() < kScanPage) break;
+    after = rows->back().key.key;
+  }
+  absl::erase_if(observed_, [&](const auto& entry) {
+    return !seen.contains(entry.first);
+  });
+  return options_.interval;
+}
+
+// Only the time since this instance first saw the row's version counts, so
+// that no two clocks are compared.
+void GrantReclaimer::Look(const Row& row, absl::Time now) {
+  const auto holder_row = DecodeHolder(row.value);
+  if (!holder_row) return;
+  const std::string& holder = row.key.key;
+  Observation& observation = observed_[holder];
+  if (observation.version != row.version) {
+    observation = Observation{.version = row.version, .first_seen = now};
+  }
+  if (observation.done) return;
+  if (holder_row->state == HolderState::kActive) {
+    const absl::Duration wait =
+        holder_row->lease * (1 + options_.clock_rate_margin) + options_.slack;
+    if (now - observation.first_seen < wait) return;
+    Mark(holder, *holder_row, row.version);
+    return;
+  }
+  observation.done = WriteOff(holder, *holder_row);
+}
+
+void GrantReclaimer::Mark(const std::string& holder, const HolderRow& row,
+                          std::uint64_t version) {
+  HolderRow marked = row;
+  marked.state = HolderState::kReclaimed;
+  const RowKey key = HolderKey(holder);
+  const Transaction mark{.conditions = {{key, version}},
+                         .writes = {{key, Encode(marked)}}};
+  if (table_->Commit(mark, options_.timeout) != CommitOutcome::kCommitted) {
+    return;
+  }
+  events_->Write(EventId::kHolderReclaimed, Severity::kWarning,
+                 "a holder's lease lapsed; its grants are written off",
+                 {{"holder", holder}});
+}
+
+// Returns true if nothing is left to do while the holder's row stays as it is.
+bool GrantReclaimer::WriteOff(const std::string& holder, const HolderRow& row) {
+  const auto lines = ReadGrants(holder, row);
+  if (!lines) return false;
+  const bool accounted_for =
+      std::all_of(lines->begin(), lines->end(), [](const GrantLine& line) {
+        return line.row.Outstanding() == Tokens(0) &&
+               line.row.written_off == Tokens(0);
+      });
+  LastReason reason;
+  if (accounted_for) {
+    const auto rows =
+        table_->Read({HolderKey(holder)}, options_.timeout, &reason);
+    if (!rows || rows->empty()) return false;
+    return Remove(holder, rows->front().version, *lines);
+  }
+  const auto number = GrantNumber(holder);
+  if (!number) return true;
+  const std::int64_t first = HourOf(row.renewed) - kHoursBefore;
+  const std::int64_t last = HourOf(row.renewed + row.lease) + kHoursAfterLease;
+  const auto records = records_.OfHolder(row.instance, *number, first, last,
+                                         options_.timeout, &reason);
+  if (!records) return false;
+  bool done = true;
+  for (const GrantLine& line : *lines) {
+    if (line.row.Outstanding() == Tokens(0)) continue;
+    done &= WriteOffGrant(holder, line, *records);
+  }
+  return done;
+}
+
+bool GrantReclaimer::WriteOffGrant(const std::string& holder,
+                                   const GrantLine& line,
+                                   const HolderRecords& records) {
+  const Tokens recorded = records.BilledFrom(line.row.batches, line.budget);
+  const Tokens settled = std::min(recorded, line.row.Outstanding());
+  const Tokens lost = line.row.Outstanding() - settled;
+  GrantRow row = line.row;
+  row.settled += settled;
+  row.written_off += lost;
+  const RowKey key = GrantKey(holder, line.budget);
+  for (int i = 0; i < kConflictTries; ++i) {
+    LastReason reason;
+    auto pools =
+        ReadPools(table_, {line.budget}, {0}, options_.timeout, &reason);
+    if (!pools || !pools->front()) return false;
+    PoolReading& pool = *pools->front();
+    StripeRow& stripe = pool.Change(0);
+    stripe.settled += settled;
+    stripe.written_off += lost;
+    Transaction transaction{.conditions = {{key, line.version}},
+                            .writes = {{key, Encode(row)}}};
+    pool.AddTo(&transaction);
+    const CommitOutcome outcome = table_->Commit(transaction, options_.timeout);
+    if (outcome == CommitOutcome::kCommitted) {
+      counters_->Add(Counter::kTokensWrittenOff,
+                     static_cast<std::uint64_t>(lost.value()));
+      return true;
+    }
+    if (outcome != CommitOutcome::kConflict) return false;
+  }
+  return false;
+}
+
+// A scan may lag, so the number of grant rows is compared with the holder's
+// own count, and the rows themselves are read.
+std::optional<std::vector<GrantReclaimer::GrantLine>>
+GrantReclaimer::ReadGrants(const std::string& holder, const HolderRow& row) {
+  LastReason reason;
+  std::vector<RowKey> keys;
+  std::string after = holder + "/";
+  bool more = true;
+  while (more) {
+    const auto rows =
+        table_->Scan(kGrantTable, after, kScanPage, options_.timeout, &reason);
+    if (!rows) return std::nullopt;
+    more = rows->size() == kScanPage;
+    for (const Row& found : *rows) {
+      if (!BudgetOfGrantKey(holder, found.key.key)) {
+        more = false;
+        break;
+      }
+      keys.push_back(found.key);
+      after = found.key.key;
+    }
+  }
+  if (static_cast<int>(keys.size()) < row.grants) return std::nullopt;
+  const auto rows = table_->Read(keys, options_.timeout, &reason);
+  if (!rows) return std::nullopt;
+  std::vector<GrantLine> lines;
+  for (const Row& found : *rows) {
+    const auto grant = DecodeGrant(found.value);
+    const auto budget = BudgetOfGrantKey(holder, found.key.key);
+    if (!grant || !budget) return std::nullopt;
+    lines.push_back({*budget, *grant, found.version});
+  }
+  return lines;
+}
+
+bool GrantReclaimer::Remove(const std::string& holder, std::uint64_t version,
+                            const std::vector<GrantLine>& lines) {
+  const RowKey holder_key = HolderKey(holder);
+  Transaction transaction{.conditions = {{holder_key, version}},
+                          .writes = {{holder_key, std::nullopt}}};
+  for (const GrantLine& line : lines) {
+    const RowKey key = GrantKey(holder, line.budget);
+    transaction.conditions.push_back({key, line.version});
+    transaction.writes.push_back({key, std::nullopt});
+  }
+  return table_->Commit(transaction, options_.timeout) ==
+         CommitOutcome::kCommitted;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/budget/grant_reclaimer.h
@@ -0,0 +1,86 @@
+#ifndef WISTERIAREEL_BUDGET_GRANT_RECLAIMER_H_
+#define WISTERIAREEL_BUDGET_GRANT_RECLAIMER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "src/budget/budget_rows.h"
+#include "src/budget/keeper_options.h"
+#include "src/budget/store_record_reader.h"
+#include "wisteriareel/counters.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/table_service.h"
+
+namespace wisteriareel {
+
+inline constexpr absl::Duration kDefaultReclaimInterval = absl::Seconds(30);
+inline constexpr absl::Duration kDefaultReclaimSlack = absl::Seconds(10);
+
+// Options of a GrantReclaimer.
+struct GrantReclaimerOptions {
+  // By what part two instances' clocks may differ in rate.
+  double clock_rate_margin = kDefaultClockRateMargin;
+  // Waited beyond a lease and its rate margin.
+  absl::Duration slack = kDefaultReclaimSlack;
+  // How often the holders are looked through.
+  absl::Duration interval = kDefaultReclaimInterval;
+  // Longest wait for one call of the platform.
+  absl::Duration timeout = kDefaultBudgetTableTimeout;
+};
+
+// Writes off the grants of holders that went away. A holder is taken for gone
+// when its row didn't change for its whole lease by this instance's clock; it
+// has then stopped by its own. What its records bill is settled; the rest is
+// written off, because it may have been spent. Rows of holders that account
+// for everything are removed. Not thread-safe: run by whoever holds the duty.
+// Two at once do no harm, since every write is conditional.
+class GrantReclaimer {
+ public:
+  // The pointers must outlive the reclaimer.
+  GrantReclaimer(const GrantReclaimerOptions& options, TableService* table,
+                 ObjectStore* store, Counters* counters = DiscardCounters(),
+                 EventLog* events = DiscardEvents());
+
+  // Looks through all holders once. Returns how long to wait before the next
+  // step.
+  absl::Duration ReclaimStep(absl::Time now);
+
+ private:
+  struct Observation {
+    std::uint64_t version = 0;
+    absl::Time first_seen;
+    // Nothing is left to do while the row stays at this version.
+    bool done = false;
+  };
+  struct GrantLine {
+    BudgetId budget;
+    GrantRow row;
+    std::uint64_t version = 0;
+  };
+
+  void Look(const Row& row, absl::Time now);
+  void Mark(const std::string& holder, const HolderRow& row,
+            std::uint64_t version);
+  bool WriteOff(const std::string& holder, const HolderRow& row);
+  bool WriteOffGrant(const std::string& holder, const GrantLine& line,
+                     const HolderRecords& records);
+  bool Remove(const std::string& holder, std::uint64_t version,
+              const std::vector<GrantLine>& lines);
+  std::optional<std::vector<GrantLine>> ReadGrants(const std::string& holder,
+                                                   const HolderRow& row);
+
+  const GrantReclaimerOptions options_;
+  TableService* const table_;
+  StoreRecordReader records_;
+  Counters* const counters_;
+  EventLog* const events_;
+  absl::flat_hash_map<std::string, Observation> observed_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_BUDGET_GRANT_RECLAIMER_H_
--- /dev/null
+++ b/src/budget/journal_writer.cc
@@ -0,0 +1,127 @@
+#include "src/budget/journal_writer.h"
+
+#include <algorithm>
+#include <map>
+#include <thread>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "src/budget/request_id_maker.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr absl::Duration kRetryDelay = absl::Milliseconds(500);
+
+absl::Time MadeAt(const RequestRecord& record) {
+  const auto parts = ParseRequestId(record.request);
+  return parts ? parts->made : record.started;
+}
+
+}  // namespace
+
+JournalWriter::JournalWriter(const JournalWriterOptions& options,
+                             ObjectStore* store, Clock* clock,
+                             RandomSource* random, Counters* counters,
+                             EventLog* events)
+    : options_(options),
+      store_(store),
+      clock_(clock),
+      counters_(counters),
+      events_(events),
+      process_(random->HexId()) {}
+
+void JournalWriter::Append(const RequestRecord& record) {
+  const std::size_t n =
+      std::hash<std::thread::id>()(std::this_thread::get_id());
+  Lane& lane = lanes_[n % lanes_.size()];
+  waiting_.fetch_add(1, std::memory_order_relaxed);
+  std::lock_guard<std::mutex> lock(lane.mutex);
+  lane.records.push_back(record);
+}
+
+bool JournalWriter::HasRoom() const { return waiting() < options_.max_records; }
+
+void JournalWriter::SetKeptObserver(const KeptObserver& observer) {
+  observer_ = observer;
+}
+
+absl::Duration JournalWriter::Step() {
+  std::lock_guard<std::mutex> lock(step_mutex_);
+  MakeBatches(TakeRecords());
+  while (!batches_.empty()) {
+    if (WriteFirst()) continue;
+    if (!store_away_) {
+      store_away_ = true;
+      events_->Write(EventId::kRecordsWait, Severity::kWarning,
+                     "the object store takes no records",
+                     {{"records", absl::StrCat(waiting())}});
+    }
+    return kRetryDelay;
+  }
+  store_away_ = false;
+  return options_.flush_interval;
+}
+
+std::vector<RequestRecord> JournalWriter::TakeRecords() {
+  std::vector<RequestRecord> all;
+  for (Lane& lane : lanes_) {
+    std::vector<RequestRecord> taken;
+    {
+      std::lock_guard<std::mutex> lock(lane.mutex);
+      taken.swap(lane.records);
+    }
+    std::move(taken.begin(), taken.end(), std::back_inserter(all));
+  }
+  return all;
+}
+
+void JournalWriter::MakeBatches(std::vector<RequestRecord> records) {
+  std::map<std::int64_t, std::vector<RequestRecord>> by_hour;
+  for (RequestRecord& record : records) {
+    const std::int64_t hour = HourOf(record.finished);
+    std::vector<RequestRecord>& batch = by_hour[hour];
+    batch.push_back(std::move(record));
+    if (batch.size() < options_.max_batch) continue;
+    MakeBatch(hour, std::move(batch));
+    by_hour.erase(hour);
+  }
+  for (auto& [hour, batch] : by_hour) MakeBatch(hour, std::move(batch));
+}
+
+void JournalWriter::MakeBatch(std::int64_t hour,
+                              std::vector<RequestRecord> records) {
+  BatchName name{.hour = hour,
+                 .instance = options_.instance,
+                 .process = process_,
+                 .number = next_number_++,
+                 .first_made = absl::InfiniteFuture(),
+                 .last_made = absl::InfinitePast()};
+  for (const RequestRecord& record : records) {
+    name.first_made = std::min(name.first_made, MadeAt(record));
+    name.last_made = std::max(name.last_made, MadeAt(record));
+  }
+  std::string bytes = EncodeRecords(records);
+  batches_.push_back(Batch{.name = std::move(name),
+                           .bytes = std::move(bytes),
+                           .records = std::move(records)});
+}
+
+// Returns true if the first batch is confirmed to be in the object store.
+bool JournalWriter::WriteFirst() {
+  Batch& batch = batches_.front();
+  const CommitOutcome outcome =
+      store_->Put(Encode(batch.name), batch.bytes, options_.store_timeout);
+  if (outcome != CommitOutcome::kCommitted) {
+    counters_->Retried(outcome == CommitOutcome::kUnknown
+                           ? Reason::kPlatformReplyLost
+                           : Reason::kPlatformUnavailable);
+    return false;
+  }
+  if (observer_) observer_(batch.name.number, batch.records);
+  waiting_.fetch_sub(batch.records.size(), std::memory_order_relaxed);
+  batches_.pop_front();
+  return true;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/budget/pool_reading.cc
@@ -0,0 +1,136 @@
+#include "src/budget/pool_reading.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <utility>
+
+namespace wisteriareel {
+namespace {
+
+using RowsByKey = std::map<RowKey, Row>;
+
+// Adds the rows of `keys` to `found`. Returns false with a reason.
+bool ReadInto(TableService* table, const std::vector<RowKey>& keys,
+              absl::Duration timeout, RowsByKey* found, LastReason* reason) {
+  if (keys.empty()) return true;
+  const auto rows = table->Read(keys, timeout, reason);
+  if (!rows) return false;
+  for (const Row& row : *rows) found->emplace(row.key, row);
+  return true;
+}
+
+std::optional<TopUpRow> FindTopUp(const RowsByKey& rows,
+                                  const BudgetId& budget) {
+  const auto it = rows.find(TopUpKey(budget));
+  if (it == rows.end()) return std::nullopt;
+  return DecodeTopUp(it->second.value);
+}
+
+std::optional<PoolReading> Assemble(const RowsByKey& rows,
+                                    const BudgetId& budget) {
+  const auto top_up = FindTopUp(rows, budget);
+  if (!top_up) return std::nullopt;
+  std::vector<VersionedStripe> stripes(
+      static_cast<std::size_t>(top_up->stripes));
+  for (int i = 0; i < top_up->stripes; ++i) {
+    const auto it = rows.find(StripeKey(budget, i));
+    if (it == rows.end()) continue;
+    const auto stripe = DecodeStripe(it->second.value);
+    if (!stripe) return std::nullopt;
+    stripes[static_cast<std::size_t>(i)] =
+        VersionedStripe{.row = *stripe, .version = it->second.version};
+  }
+  return PoolReading(budget, *top_up, std::move(stripes));
+}
+
+}  // namespace
+
+PoolReading::PoolReading(BudgetId budget, TopUpRow top_up,
+                         std::vector<VersionedStripe> stripes)
+    : budget_(std::move(budget)),
+      top_up_(top_up),
+      stripes_(std::move(stripes)) {}
+
+Tokens PoolReading::Free() const {
+  const StripeRow sum = Sum();
+  return top_up_.topped_up - sum.granted + sum.returned;
+}
+
+Tokens PoolReading::Outstanding() const { return Sum().Outstanding(); }
+
+StripeRow PoolReading::Sum() const {
+  StripeRow sum;
+  for (const VersionedStripe& stripe : stripes_) {
+    sum.granted += stripe.row.granted;
+    sum.returned += stripe.row.returned;
+    sum.settled += stripe.row.settled;
+    sum.written_off += stripe.row.written_off;
+  }
+  return sum;
+}
+
+Tokens PoolReading::StripeFree(int stripe) const {
+  const StripeRow& row = stripes_[static_cast<std::size_t>(stripe)].row;
+  return StripeShare(top_up_.topped_up, stripe, top_up_.stripes) - row.granted +
+         row.returned;
+}
+
+void PoolReading::Grant(Tokens amount, int home) {
+  for (int i = 0; i < top_up_.stripes && amount > Tokens(0); ++i) {
+    const int stripe = (home + i) % top_up_.stripes;
+    const Tokens part = std::min(amount, StripeFree(stripe));
+    if (part <= Tokens(0)) continue;
+    Change(stripe).granted += part;
+    amount -= part;
+  }
+}
+
+StripeRow& PoolReading::Change(int home) {
+  VersionedStripe& stripe = stripes_[static_cast<std::size_t>(home)];
+  stripe.changed = true;
+  return stripe.row;
+}
+
+void PoolReading::AddTo(Transaction* transaction) const {
+  for (std::size_t i = 0; i < stripes_.size(); ++i) {
+    if (!stripes_[i].changed) continue;
+    const RowKey key = StripeKey(budget_, static_cast<int>(i));
+    transaction->conditions.push_back({key, stripes_[i].version});
+    transaction->writes.push_back({key, Encode(stripes_[i].row)});
+  }
+}
+
+std::optional<std::vector<std::optional<PoolReading>>> ReadPools(
+    TableService* table, const std::vector<BudgetId>& budgets,
+    const std::vector<int>& stripes, absl::Duration timeout,
+    LastReason* reason) {
+  RowsByKey rows;
+  std::vector<RowKey> keys;
+  for (std::size_t i = 0; i < budgets.size(); ++i) {
+    keys.push_back(TopUpKey(budgets[i]));
+    for (int n = 0; n < stripes[i]; ++n)
+      keys.push_back(StripeKey(budgets[i], n));
+  }
+  if (!ReadInto(table, keys, timeout, &rows, reason)) return std::nullopt;
+
+  std::vector<RowKey> late_keys;
+  for (std::size_t i = 0; i < budgets.size(); ++i) {
+    if (stripes[i] != 0) continue;
+    const auto top_up = FindTopUp(rows, budgets[i]);
+    if (!top_up) continue;
+    for (int n = 0; n < top_up->stripes; ++n) {
+      late_keys.push_back(StripeKey(budgets[i], n));
+    }
+  }
+  if (!ReadInto(table, late_keys, timeout, &rows, reason)) return std::nullopt;
+
+  std::vector<std::optional<PoolReading>> pools;
+  pools.reserve(budgets.size());
+  for (const BudgetId& budget : budgets) {
+    pools.push_back(Assemble(rows, budget));
+  }
+  return pools;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/budget/request_id_maker.h
@@ -0,0 +1,45 @@
+#ifndef WISTERIAREEL_BUDGET_REQUEST_ID_MAKER_H_
+#define WISTERIAREEL_BUDGET_REQUEST_ID_MAKER_H_
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+
+#include "absl/time/time.h"
+#include "wisteriareel/clock.h"
+#include "wisteriareel/random_source.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+// What a request id says.
+struct RequestIdParts {
+  InstanceId instance;
+  absl::Time made;
+
+  friend bool operator==(const RequestIdParts&,
+                         const RequestIdParts&) = default;
+};
+
+// Makes request ids of the form <instance>-<hex milliseconds>-<hex number>,
+// by which the batch that holds a request's record is found. The numbers
+// start at random, so that a restarted instance repeats none. Thread-safe.
+class RequestIdMaker {
+ public:
+  // `clock` must outlive the maker; `random` is used here only.
+  RequestIdMaker(InstanceId instance, Clock* clock, RandomSource* random);
+
+  RequestId Next();
+
+ private:
+  const InstanceId instance_;
+  Clock* const clock_;
+  std::atomic<std::uint64_t> number_;
+};
+
+// Returns what `id` says, or nullopt if it isn't of the maker's form.
+std::optional<RequestIdParts> ParseRequestId(const RequestId& id);
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_BUDGET_REQUEST_ID_MAKER_H_
--- /dev/null
+++ b/src/budget/sizing.cc
@@ -0,0 +1,79 @@
+#include <algorithm>
+#include <cstdint>
+
+#include "wisteriareel/budget_sizing.h"
+
+namespace wisteriareel {
+namespace {
+
+// Requests that a holder can start at once before its demand is known.
+constexpr std::int64_t kLeastRequests = 4;
+
+// Returns the spend over `period`, at least that of a few large requests.
+std::int64_t SpendOver(const BudgetDemand& demand, absl::Duration period) {
+  const double spend = demand.tokens_per_second * absl::ToDoubleSeconds(period);
+  return std::max(kLeastRequests * demand.largest_request.value(),
+                  static_cast<std::int64_t>(spend));
+}
+
+class FixedSizing final : public SizingPolicy {
+ public:
+  explicit FixedSizing(Tokens holding) : holding_(holding) {}
+
+  Tokens Target(const BudgetDemand& demand) const override {
+    return std::min(holding_, demand.pool);
+  }
+
+ private:
+  const Tokens holding_;
+};
+
+class DemandSizing final : public SizingPolicy {
+ public:
+  explicit DemandSizing(absl::Duration period) : period_(period) {}
+
+  Tokens Target(const BudgetDemand& demand) const override {
+    return std::min(Tokens(SpendOver(demand, period_)), demand.pool);
+  }
+
+ private:
+  const absl::Duration period_;
+};
+
+class HorizonSizing final : public SizingPolicy {
+ public:
+  explicit HorizonSizing(const HorizonSizingOptions& options)
+      : weight_(options.false_refusal_weight),
+        horizon_(options.longest_outage * options.false_refusal_weight) {}
+
+  // With every holder at its target, all holders together have `weight` of
+  // what is left.
+  Tokens Target(const BudgetDemand& demand) const override {
+    const double share = weight_ / std::max(1, demand.holders);
+    const double ratio = share / (1 - weight_ + share);
+    const double limit = ratio * static_cast<double>(demand.pool.value());
+    return Tokens(std::min(SpendOver(demand, horizon_),
+                           static_cast<std::int64_t>(limit)));
+  }
+
+ private:
+  const double weight_;
+  const absl::Duration horizon_;
+};
+
+}  // namespace
+
+std::unique_ptr<SizingPolicy> MakeFixedSizing(Tokens holding) {
+  return std::make_unique<FixedSizing>(holding);
+}
+
+std::unique_ptr<SizingPolicy> MakeDemandSizing(absl::Duration period) {
+  return std::make_unique<DemandSizing>(period);
+}
+
+std::unique_ptr<SizingPolicy> MakeHorizonSizing(
+    const HorizonSizingOptions& options) {
+  return std::make_unique<HorizonSizing>(options);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/budget/table_budget_admin.cc
@@ -0,0 +1,134 @@
+#include "src/budget/table_budget_admin.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "src/budget/budget_rows.h"
+#include "src/budget/pool_reading.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr int kTopUpTries = 8;
+constexpr int kHistoryPage = 500;
+
+const Row* FindRow(const std::vector<Row>& rows, const RowKey& key) {
+  for (const Row& row : rows) {
+    if (row.key == key) return &row;
+  }
+  return nullptr;
+}
+
+bool NameFits(const BudgetId& budget, const OrderId& order) {
+  const auto fits = [](const std::string& name) {
+    return !name.empty() && name.find('/') == std::string::npos;
+  };
+  return fits(budget.value()) && fits(order.value());
+}
+
+}  // namespace
+
+std::optional<BudgetStatus> TableBudgetAdmin::TopUp(
+    const BudgetId& budget, const OrderId& order, Tokens amount,
+    const std::string& operator_name, absl::Duration timeout,
+    LastReason* reason) {
+  if (!NameFits(budget, order) || amount < Tokens(1)) {
+    reason->Set(Reason::kMalformed, "budget, order or amount");
+    return std::nullopt;
+  }
+  const RowKey top_up_key = TopUpKey(budget);
+  const RowKey line_key = TopUpLineKey(budget, order);
+  bool in_doubt = false;
+  for (int i = 0; i < kTopUpTries; ++i) {
+    const auto rows = table_->Read({top_up_key, line_key}, timeout, reason);
+    if (!rows) break;
+    if (const Row* row = FindRow(*rows, line_key)) {
+      const auto line = DecodeTopUpLine(row->value);
+      if (line && line->amount == amount)
+        return Status(budget, timeout, reason);
+      reason->Set(Reason::kConflict, "order id used for another top-up");
+      return std::nullopt;
+    }
+    const Row* old = FindRow(*rows, top_up_key);
+    TopUpRow sum{.stripes = options_.stripes};
+    if (old != nullptr) {
+      const auto decoded = DecodeTopUp(old->value);
+      if (!decoded) {
+        reason->Set(Reason::kMalformed, budget.value());
+        return std::nullopt;
+      }
+      sum = *decoded;
+    }
+    sum.topped_up += amount;
+    if (sum.topped_up == Tokens(INT64_MAX)) {
+      reason->Set(Reason::kTooLarge, "sum of top-ups");
+      return std::nullopt;
+    }
+    const TopUpLine line{.order = order,
+                         .amount = amount,
+                         .operator_name = operator_name,
+                         .accepted = clock_->Now()};
+    const Transaction transaction{
+        .conditions = {{top_up_key, old == nullptr ? 0 : old->version},
+                       {line_key, 0}},
+        .writes = {{top_up_key, Encode(sum)}, {line_key, Encode(line)}}};
+    const CommitOutcome outcome = table_->Commit(transaction, timeout);
+    if (outcome == CommitOutcome::kCommitted) {
+      return Status(budget, timeout, reason);
+    }
+    if (outcome == CommitOutcome::kUnknown) in_doubt = true;
+    reason->Set(outcome == CommitOutcome::kConflict
+                    ? Reason::kConflict
+                    : Reason::kPlatformUnavailable,
+                "top-up not committed");
+    if (outcome == CommitOutcome::kRejected) break;
+  }
+  if (in_doubt) reason->Set(Reason::kPlatformReplyLost, order.value());
+  return std::nullopt;
+}
+
+std::optional<BudgetStatus> TableBudgetAdmin::Status(const BudgetId& budget,
+                                                     absl::Duration timeout,
+                                                     LastReason* reason) {
+  const auto pools = ReadPools(table_, {budget}, {0}, timeout, reason);
+  if (!pools) return std::nullopt;
+  if (!pools->front()) {
+    reason->Set(Reason::kBudgetUnknown, budget.value());
+    return std::nullopt;
+  }
+  const PoolReading& pool = *pools->front();
+  const StripeRow sum = pool.Sum();
+  return BudgetStatus{.budget = budget,
+                      .topped_up = pool.top_up().topped_up,
+                      .granted = sum.granted - sum.returned,
+                      .settled = sum.settled,
+                      .written_off = sum.written_off};
+}
+
+std::optional<std::vector<TopUpLine>> TableBudgetAdmin::History(
+    const BudgetId& budget, absl::Duration timeout, LastReason* reason) {
+  const std::string prefix = budget.value() + "/";
+  std::vector<TopUpLine> lines;
+  std::string after = prefix;
+  while (true) {
+    const auto rows =
+        table_->Scan(kTopUpLineTable, after, kHistoryPage, timeout, reason);
+    if (!rows) return std::nullopt;
+    bool past = rows->size() < kHistoryPage;
+    for (const Row& row : *rows) {
+      past |= row.key.key.compare(0, prefix.size(), prefix) != 0;
+      if (past && row.key.key.compare(0, prefix.size(), prefix) != 0) break;
+      const auto line = DecodeTopUpLine(row.value);
+      if (line) lines.push_back(*line);
+    }
+    if (past) break;
+    after = rows->back().key.key;
+  }
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const TopUpLine& a, const TopUpLine& b) {
+                     return a.accepted < b.accepted;
+                   });
+  return lines;
+}
+
+}  // namespace wisteriareel
--- a/test/budget_tests.cmake
+++ b/test/budget_tests.cmake
@@ -0,0 +1,1 @@
+wisteriareel_test(budget_keeper_test LIBRARIES wisteriareel_budget)
