--- a/include/wisteriareel/claim_admin.h
+++ b/include/wisteriareel/claim_admin.h
@@ -26,6 +26,8 @@
   InstanceId holder;
   ClaimState state = ClaimState::kHeld;
   absl::Time claimed;
+  // Where the claim stands in ListOpen's order; `after` of the next page.
+  std::string position;
 
   friend bool operator==(const ClaimLine&, const ClaimLine&) = default;
 };
