--- /dev/null
+++ b/src/observability/log4cxx_event_log.h
@@ -0,0 +1,43 @@
+#ifndef WISTERIAREEL_SRC_OBSERVABILITY_LOG4CXX_EVENT_LOG_H_
+#define WISTERIAREEL_SRC_OBSERVABILITY_LOG4CXX_EVENT_LOG_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wisteriareel/event_log.h"
+
+namespace wisteriareel {
+
+struct Log4cxxEventLogOptions {
+  // Events below this severity are dropped.
+  Severity least = Severity::kInfo;
+  // Name of the logger; the lines of one process carry it.
+  std::string logger = "wisteriareel";
+};
+
+// Returns the text of an event line: its number, `text`, and the fields as
+// name=value. Values with blanks, quotes or control characters are quoted and
+// escaped, so that one event is always one line.
+std::string FormatEvent(EventId id, std::string_view text,
+                        const std::vector<EventField>& fields);
+
+// Writes events to the standard error stream through log4cxx. Thread-safe.
+class Log4cxxEventLog final : public EventLog {
+ public:
+  explicit Log4cxxEventLog(const Log4cxxEventLogOptions& options);
+  ~Log4cxxEventLog() override;
+
+  void Write(EventId id, Severity severity, std::string_view text,
+             const std::vector<EventField>& fields) override;
+
+ private:
+  class Impl;
+  const Severity least_;
+  const std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_OBSERVABILITY_LOG4CXX_EVENT_LOG_H_
--- /dev/null
+++ b/src/security/operator_credentials.h
@@ -0,0 +1,51 @@
+#ifndef WISTERIAREEL_SRC_SECURITY_OPERATOR_CREDENTIALS_H_
+#define WISTERIAREEL_SRC_SECURITY_OPERATOR_CREDENTIALS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wisteriareel/reason.h"
+
+namespace wisteriareel {
+
+// What a credential permits. A higher role includes the lower ones.
+enum class OperatorRole : std::uint8_t {
+  kRead = 1,     // Calls that change nothing.
+  kOperate = 2,  // All calls.
+};
+
+// A credential of an operator. The token itself is never stored.
+struct OperatorCredential {
+  std::string name;
+  OperatorRole role = OperatorRole::kRead;
+  // Lower-case hexadecimal SHA-256 of the token.
+  std::string token_sha256;
+
+  friend bool operator==(const OperatorCredential&,
+                         const OperatorCredential&) = default;
+};
+
+// The credentials that an instance accepts. Immutable and thread-safe.
+class OperatorCredentials {
+ public:
+  OperatorCredentials() = default;
+  explicit OperatorCredentials(std::vector<OperatorCredential> credentials);
+
+  // Returns the credential that `authorization`, the value of the
+  // authorization metadata ("Bearer TOKEN"), belongs to if its role includes
+  // `needed`. Returns nullopt with kUnauthenticated or kForbidden otherwise.
+  // The time taken doesn't depend on which credential matches.
+  std::optional<OperatorCredential> Admit(std::string_view authorization,
+                                          OperatorRole needed,
+                                          LastReason* reason) const;
+
+ private:
+  std::vector<OperatorCredential> credentials_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_SECURITY_OPERATOR_CREDENTIALS_H_
--- /dev/null
+++ b/src/settings/object_reader.h
@@ -0,0 +1,116 @@
+#ifndef WISTERIAREEL_SRC_SETTINGS_OBJECT_READER_H_
+#define WISTERIAREEL_SRC_SETTINGS_OBJECT_READER_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "nlohmann/json.hpp"
+#include "src/settings/settings_problem.h"
+
+namespace wisteriareel::settings {
+
+// Reads one JSON object field by field and collects all that is wrong with
+// it. Fields that were not named are reported as unknown when the reader is
+// destroyed. Not thread-safe.
+class ObjectReader {
+ public:
+  // `value` and `problems` must outlive the reader.
+  ObjectReader(const nlohmann::json& value, std::string path,
+               std::vector<SettingsProblem>* problems);
+
+  // Reports the fields that nobody asked for.
+  ~ObjectReader();
+
+  ObjectReader(const ObjectReader&) = delete;
+  ObjectReader& operator=(const ObjectReader&) = delete;
+
+  // Reads a field that must be there.
+  template <typename Check, typename T>
+  void Required(const std::string& name, const Check& check, T* out) {
+    ReadField(name, check, out, /*required=*/true);
+  }
+
+  // Reads a field that keeps its default if it isn't there.
+  template <typename Check, typename T>
+  void Optional(const std::string& name, const Check& check, T* out) {
+    ReadField(name, check, out, /*required=*/false);
+  }
+
+  // Reads a nested object by `read`, a function (ObjectReader*, T*).
+  template <typename T>
+  void RequiredObject(const std::string& name, T* out,
+                      void (*read)(ObjectReader*, T*)) {
+    ReadObject(name, out, read, /*required=*/true);
+  }
+  template <typename T>
+  void OptionalObject(const std::string& name, T* out,
+                      void (*read)(ObjectReader*, T*)) {
+    ReadObject(name, out, read, /*required=*/false);
+  }
+
+  // Reads a list of objects with at least one element.
+  template <typename T>
+  void RequiredList(const std::string& name, std::vector<T>* out,
+                    void (*read)(ObjectReader*, T*)) {
+    const nlohmann::json* field = Find(name, "a list of objects", true);
+    if (field == nullptr) return;
+    if (!field->is_array() || field->empty()) {
+      Report(PathOf(name), "a list of at least one object", Describe(*field));
+      return;
+    }
+    for (std::size_t n = 0; n < field->size(); ++n) {
+      ObjectReader reader((*field)[n], absl::StrCat(PathOf(name), "[", n, "]"),
+                          problems_);
+      read(&reader, &out->emplace_back());
+    }
+  }
+
+  // Reports a problem that a check of single fields can't see.
+  void Report(const std::string& path, const std::string& expectation,
+              const std::string& found);
+
+  const std::string& path() const { return path_; }
+
+ private:
+  // Returns "a string", "3" or the like.
+  static std::string Describe(const nlohmann::json& value);
+  static std::string DescribeSecret(const nlohmann::json& value);
+
+  std::string PathOf(const std::string& name) const {
+    return absl::StrCat(path_, ".", name);
+  }
+
+  // Returns the field, or null, which is reported if it is `required`.
+  const nlohmann::json* Find(const std::string& name,
+                             const std::string& expectation, bool required);
+
+  template <typename Check, typename T>
+  void ReadField(const std::string& name, const Check& check, T* out,
+                 bool required) {
+    const nlohmann::json* field = Find(name, check.Expectation(), required);
+    if (field == nullptr || check.Parse(*field, out)) return;
+    Report(PathOf(name), check.Expectation(),
+           Check::kSecret ? DescribeSecret(*field) : Describe(*field));
+  }
+
+  template <typename T>
+  void ReadObject(const std::string& name, T* out,
+                  void (*read)(ObjectReader*, T*), bool required) {
+    const nlohmann::json* field = Find(name, "an object", required);
+    if (field == nullptr) return;
+    ObjectReader reader(*field, PathOf(name), problems_);
+    read(&reader, out);
+  }
+
+  const nlohmann::json& value_;
+  const std::string path_;
+  std::vector<SettingsProblem>* const problems_;
+  const bool is_object_;
+  absl::flat_hash_set<std::string> known_;
+};
+
+}  // namespace wisteriareel::settings
+
+#endif  // WISTERIAREEL_SRC_SETTINGS_OBJECT_READER_H_
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,261 @@
+#include "src/settings/settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "nlohmann/json.hpp"
+#include "src/settings/object_reader.h"
+#include "src/settings/settings_checks.h"
+
+// One line per field: its name, what it accepts and where it goes.
+namespace wisteriareel {
+namespace settings {
+namespace {
+
+constexpr std::int64_t kMaxPort = 65535;
+constexpr std::size_t kMinSecretBytes = 16;
+
+const Count kPort{1, kMaxPort};
+const Milliseconds kShort{absl::Milliseconds(1), absl::Minutes(1)};
+const Milliseconds kLong{absl::Milliseconds(1), absl::Hours(24)};
+
+void ReadEndpoint(ObjectReader* reader, Endpoint* out) {
+  reader->Required("host", IpNumber{}, &out->host);
+  reader->Required("port", kPort, &out->port);
+}
+
+void ReadInstance(ObjectReader* reader, InstanceSettings* out) {
+  reader->Required("id", Identifier{}, &out->id);
+  reader->Required("region", Identifier{}, &out->region);
+  reader->Required("zone", Identifier{}, &out->zone);
+}
+
+void ReadListen(ObjectReader* reader, ListenSettings* out) {
+  reader->RequiredObject("callers", &out->callers, ReadEndpoint);
+  reader->RequiredObject("operators", &out->operators, ReadEndpoint);
+  reader->RequiredObject("peers", &out->peers, ReadEndpoint);
+}
+
+void ReadPlatform(ObjectReader* reader, PlatformSettings* out) {
+  reader->RequiredObject("table", &out->table, ReadEndpoint);
+  reader->RequiredObject("object_store", &out->object_store, ReadEndpoint);
+  reader->RequiredObject("instance_list", &out->instance_list, ReadEndpoint);
+  reader->Optional("timeout_ms", kShort, &out->timeout);
+}
+
+void ReadPeers(ObjectReader* reader, PeerSettings* out) {
+  reader->Required("secret", Secret{kMinSecretBytes}, &out->secret);
+  reader->Optional("heartbeat_ms", kShort, &out->heartbeat);
+  reader->Optional("silence_ms", kShort, &out->silence);
+  reader->Optional("max_connections", Count{1, 65536}, &out->max_connections);
+}
+
+void ReadOperator(ObjectReader* reader, OperatorCredential* out) {
+  const Choice<OperatorRole> role{
+      {{"read", OperatorRole::kRead}, {"operate", OperatorRole::kOperate}}};
+  reader->Required("name", Identifier{}, &out->name);
+  reader->Required("role", role, &out->role);
+  reader->Required("token_sha256", Sha256Digest{}, &out->token_sha256);
+}
+
+void ReadTlsFiles(ObjectReader* reader, TlsFiles* out) {
+  reader->Optional("certificate_file", FilePath{}, &out->certificate_file);
+  reader->Optional("key_file", FilePath{}, &out->key_file);
+  reader->Optional("ca_file", FilePath{}, &out->ca_file);
+  reader->Optional("reload_ms", Milliseconds{absl::Seconds(1), absl::Hours(24)},
+                   &out->reload);
+}
+
+void ReadTls(ObjectReader* reader, TlsSettings* out) {
+  reader->OptionalObject("callers", &out->callers, ReadTlsFiles);
+  reader->OptionalObject("operators", &out->operators, ReadTlsFiles);
+  reader->OptionalObject("peers", &out->peers, ReadTlsFiles);
+  reader->OptionalObject("targets", &out->targets, ReadTlsFiles);
+  reader->OptionalObject("platform", &out->platform, ReadTlsFiles);
+}
+
+void ReadLimits(ObjectReader* reader, LimitSettings* out) {
+  reader->Optional("max_connections", Count{1, 65536}, &out->max_connections);
+  reader->Optional("max_body_bytes", Count{1024, 256 << 20},
+                   &out->max_body_bytes);
+  reader->Optional("server_threads", Count{1, 65536}, &out->server_threads);
+  reader->Optional("max_in_flight", Count{1, 65536}, &out->max_in_flight);
+  reader->Optional("max_queued", Count{0, 65536}, &out->max_queued);
+}
+
+void ReadBudgets(ObjectReader* reader, BudgetSettings* out) {
+  reader->Optional("grant_horizon_ms", kLong, &out->grant_horizon);
+  reader->Optional("max_grant_percent", Count{1, 100}, &out->max_grant_percent);
+  reader->Optional("min_grant_tokens", Count{1, 1 << 30},
+                   &out->min_grant_tokens);
+  reader->Optional("grant_lease_ms",
+                   Milliseconds{absl::Seconds(1), absl::Hours(24 * 30)},
+                   &out->grant_lease);
+  reader->Optional("record_flush_ms", kShort, &out->record_flush);
+}
+
+void ReadTimeouts(ObjectReader* reader, TimeoutSettings* out) {
+  reader->Optional("request_ms", kLong, &out->request);
+  reader->Optional("queue_ms", kLong, &out->queue);
+  reader->Optional("target_connect_ms", kShort, &out->target_connect);
+  reader->Optional("target_progress_ms", kLong, &out->target_progress);
+  reader->Optional("caller_read_ms", kLong, &out->caller_read);
+  reader->Optional("caller_write_ms", kLong, &out->caller_write);
+  reader->Optional("operator_call_ms", kShort, &out->operator_call);
+  reader->Optional("drain_ms", kLong, &out->drain);
+}
+
+void ReadLog(ObjectReader* reader, LogSettings* out) {
+  const Choice<Severity> severity{{{"debug", Severity::kDebug},
+                                   {"info", Severity::kInfo},
+                                   {"warning", Severity::kWarning},
+                                   {"error", Severity::kError}}};
+  reader->Optional("least", severity, &out->least);
+}
+
+// Reports what fits field by field but not together.
+void CheckClashes(ObjectReader* reader, const Settings& settings) {
+  struct Listener {
+    std::string path;
+    Endpoint endpoint;
+  };
+  const std::vector<Listener> listeners = {
+      {"$.listen.callers", settings.listen.callers},
+      {"$.listen.operators", settings.listen.operators},
+      {"$.listen.peers", settings.listen.peers}};
+  for (std::size_t n = 1; n < listeners.size(); ++n) {
+    for (std::size_t m = 0; m < n; ++m) {
+      if (listeners[n].endpoint.port == 0) continue;
+      if (listeners[n].endpoint != listeners[m].endpoint) continue;
+      reader->Report(listeners[n].path, "an address of its own",
+                     absl::StrCat("the address of ", listeners[m].path));
+    }
+  }
+  if (settings.peers.silence < 2 * settings.peers.heartbeat) {
+    reader->Report(
+        "$.peers.silence_ms", "at least twice heartbeat_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(settings.peers.silence)));
+  }
+  if (settings.limits.max_in_flight > settings.limits.server_threads) {
+    reader->Report("$.limits.max_in_flight", "at most server_threads",
+                   absl::StrCat(settings.limits.max_in_flight));
+  }
+}
+
+void CheckOperators(ObjectReader* reader, const Settings& settings) {
+  absl::flat_hash_set<std::string> names;
+  absl::flat_hash_set<std::string> tokens;
+  for (std::size_t n = 0; n < settings.operators.size(); ++n) {
+    const OperatorCredential& it = settings.operators[n];
+    const std::string path = absl::StrCat("$.operators[", n, "]");
+    if (!it.name.empty() && !names.insert(it.name).second) {
+      reader->Report(path + ".name", "a name of its own", it.name);
+    }
+    if (!it.token_sha256.empty() && !tokens.insert(it.token_sha256).second) {
+      reader->Report(path + ".token_sha256", "a token of its own",
+                     "the token of another operator");
+    }
+  }
+}
+
+void CheckTls(ObjectReader* reader, const std::string& name,
+              const TlsFiles& files, bool listener) {
+  const std::string path = absl::StrCat("$.tls.", name);
+  if (files.certificate_file.empty() != files.key_file.empty()) {
+    reader->Report(path, "certificate_file and key_file together", "one");
+  }
+  const bool lone_ca = !files.ca_file.empty() && files.certificate_file.empty();
+  if (listener && lone_ca) {
+    reader->Report(path, "a certificate_file beside ca_file", "nothing");
+  }
+}
+
+void ReadSettings(ObjectReader* reader, Settings* out) {
+  reader->RequiredObject("instance", &out->instance, ReadInstance);
+  reader->RequiredObject("listen", &out->listen, ReadListen);
+  reader->RequiredObject("platform", &out->platform, ReadPlatform);
+  reader->RequiredObject("peers", &out->peers, ReadPeers);
+  reader->RequiredList("operators", &out->operators, ReadOperator);
+  reader->OptionalObject("tls", &out->tls, ReadTls);
+  reader->OptionalObject("limits", &out->limits, ReadLimits);
+  reader->OptionalObject("budgets", &out->budgets, ReadBudgets);
+  reader->OptionalObject("timeouts", &out->timeouts, ReadTimeouts);
+  reader->OptionalObject("log", &out->log, ReadLog);
+  CheckClashes(reader, *out);
+  CheckOperators(reader, *out);
+  CheckTls(reader, "callers", out->tls.callers, /*listener=*/true);
+  CheckTls(reader, "operators", out->tls.operators, /*listener=*/true);
+  CheckTls(reader, "peers", out->tls.peers, /*listener=*/true);
+  CheckTls(reader, "targets", out->tls.targets, /*listener=*/false);
+  CheckTls(reader, "platform", out->tls.platform, /*listener=*/false);
+}
+
+// Reports names that stand twice in one object, of which the parser would
+// silently keep the last.
+class DuplicateFinder {
+ public:
+  explicit DuplicateFinder(std::vector<SettingsProblem>* problems)
+      : problems_(problems) {}
+
+  bool operator()(int /*depth*/, nlohmann::json::parse_event_t event,
+                  const nlohmann::json& value) {
+    using Event = nlohmann::json::parse_event_t;
+    if (event == Event::object_start) open_.emplace_back();
+    if (event == Event::object_end) open_.pop_back();
+    if (event == Event::key) {
+      const auto& name = value.get_ref<const std::string&>();
+      if (!open_.back().insert(name).second) {
+        problems_->push_back({absl::StrCat("$..", name), "each name once",
+                              "the same name twice in one object"});
+      }
+    }
+    return true;
+  }
+
+ private:
+  std::vector<SettingsProblem>* const problems_;
+  std::vector<absl::flat_hash_set<std::string>> open_;
+};
+
+}  // namespace
+}  // namespace settings
+
+std::optional<Settings> ParseSettings(std::string_view text,
+                                      std::vector<SettingsProblem>* problems) {
+  nlohmann::json root;
+  settings::DuplicateFinder duplicates(problems);
+  try {
+    root = nlohmann::json::parse(
+        text,
+        [&](int depth, nlohmann::json::parse_event_t event,
+            nlohmann::json& value) { return duplicates(depth, event, value); },
+        /*allow_exceptions=*/true, /*ignore_comments=*/true);
+  } catch (const nlohmann::json::parse_error& error) {
+    // The parser's text would show a piece of the file, perhaps a secret.
+    problems->push_back({"$", "JSON with comments",
+                         absl::StrCat("an error at byte ", error.byte)});
+    return std::nullopt;
+  }
+  Settings settings;
+  {
+    settings::ObjectReader reader(root, "$", problems);
+    settings::ReadSettings(&reader, &settings);
+  }
+  if (!problems->empty()) return std::nullopt;
+  return settings;
+}
+
+std::optional<Settings> LoadSettings(const std::string& path,
+                                     std::vector<SettingsProblem>* problems) {
+  std::ifstream file(path);
+  std::stringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    problems->push_back({"$", "a readable file", path});
+    return std::nullopt;
+  }
+  return ParseSettings(text.str(), problems);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,158 @@
+#ifndef WISTERIAREEL_SRC_SETTINGS_SETTINGS_H_
+#define WISTERIAREEL_SRC_SETTINGS_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "src/security/operator_credentials.h"
+#include "src/security/tls_files.h"
+#include "src/settings/settings_problem.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/types.h"
+
+// Settings of a daemon: immutable values read once at start from JSON with
+// comments. docs/SETTINGS.md describes each field.
+namespace wisteriareel {
+
+struct InstanceSettings {
+  InstanceId id;
+  RegionId region;
+  ZoneId zone;
+
+  friend bool operator==(const InstanceSettings&,
+                         const InstanceSettings&) = default;
+};
+
+// Addresses that the daemon listens on.
+struct ListenSettings {
+  Endpoint callers;
+  Endpoint operators;
+  Endpoint peers;
+
+  friend bool operator==(const ListenSettings&,
+                         const ListenSettings&) = default;
+};
+
+// Addresses of the platform's services.
+struct PlatformSettings {
+  Endpoint table;
+  Endpoint object_store;
+  Endpoint instance_list;
+  // Longest wait for one reply.
+  absl::Duration timeout = absl::Seconds(2);
+
+  friend bool operator==(const PlatformSettings&,
+                         const PlatformSettings&) = default;
+};
+
+// Connections between instances.
+struct PeerSettings {
+  // Proves membership of the deployment; the same at all instances.
+  std::string secret;
+  absl::Duration heartbeat = absl::Seconds(1);
+  // A connection silent for this long is given up.
+  absl::Duration silence = absl::Seconds(3);
+  std::uint32_t max_connections = 1024;
+
+  friend bool operator==(const PeerSettings&, const PeerSettings&) = default;
+};
+
+// Certificates per listener and client. Plain text where none are set.
+struct TlsSettings {
+  TlsFiles callers;
+  TlsFiles operators;
+  TlsFiles peers;
+  TlsFiles targets;
+  TlsFiles platform;
+
+  friend bool operator==(const TlsSettings&, const TlsSettings&) = default;
+};
+
+// What callers may take up.
+struct LimitSettings {
+  std::uint32_t max_connections = 2048;
+  std::uint32_t max_body_bytes = 4 << 20;
+  std::uint32_t server_threads = 1200;
+  // Requests at targets at once, over all customers.
+  std::uint32_t max_in_flight = 1024;
+  // Requests that wait for their turn at once.
+  std::uint32_t max_queued = 2048;
+
+  friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
+};
+
+// How much of a budget this instance takes in advance, and for how long.
+struct BudgetSettings {
+  // Spending that a grant should cover while the platform is away.
+  absl::Duration grant_horizon = absl::Minutes(10);
+  // Largest part of a budget's ungranted tokens that one grant takes.
+  std::uint32_t max_grant_percent = 25;
+  // Least tokens of one grant, if the budget still has them.
+  std::uint32_t min_grant_tokens = 4096;
+  // An unreachable holder's grant can be reclaimed after this time.
+  absl::Duration grant_lease = absl::Hours(1);
+  // Records are written to the object store this often.
+  absl::Duration record_flush = absl::Seconds(5);
+
+  friend bool operator==(const BudgetSettings&,
+                         const BudgetSettings&) = default;
+};
+
+struct TimeoutSettings {
+  // Longest time of a request whose caller names none.
+  absl::Duration request = absl::Minutes(10);
+  // Longest wait in the queue.
+  absl::Duration queue = absl::Seconds(30);
+  absl::Duration target_connect = absl::Seconds(1);
+  // Longest silence of a target before the attempt is given up.
+  absl::Duration target_progress = absl::Seconds(20);
+  // Longest silence of a caller while it sends its request.
+  absl::Duration caller_read = absl::Seconds(10);
+  // Longest wait for a caller to take what was written.
+  absl::Duration caller_write = absl::Seconds(30);
+  // Longest time of an operator's call at the platform.
+  absl::Duration operator_call = absl::Seconds(5);
+  // Longest wait of a graceful shutdown for requests in flight.
+  absl::Duration drain = absl::Minutes(15);
+
+  friend bool operator==(const TimeoutSettings&,
+                         const TimeoutSettings&) = default;
+};
+
+struct LogSettings {
+  Severity least = Severity::kInfo;
+
+  friend bool operator==(const LogSettings&, const LogSettings&) = default;
+};
+
+struct Settings {
+  InstanceSettings instance;
+  ListenSettings listen;
+  PlatformSettings platform;
+  PeerSettings peers;
+  std::vector<OperatorCredential> operators;
+  TlsSettings tls;
+  LimitSettings limits;
+  BudgetSettings budgets;
+  TimeoutSettings timeouts;
+  LogSettings log;
+
+  friend bool operator==(const Settings&, const Settings&) = default;
+};
+
+// Reads settings from the text of a file. Returns nullopt and all that is
+// wrong in `problems`; a file that is no JSON has that one problem.
+std::optional<Settings> ParseSettings(std::string_view text,
+                                      std::vector<SettingsProblem>* problems);
+
+// Like ParseSettings, from the file at `path`.
+std::optional<Settings> LoadSettings(const std::string& path,
+                                     std::vector<SettingsProblem>* problems);
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/src/settings/settings_checks.cc
@@ -0,0 +1,69 @@
+#include "src/settings/settings_checks.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+
+#include "absl/strings/ascii.h"
+
+namespace wisteriareel::settings {
+namespace {
+
+constexpr std::size_t kMaxIdentifierBytes = 128;
+constexpr std::size_t kDigestDigits = 64;
+
+bool IsIdentifierCharacter(unsigned char c) {
+  return absl::ascii_isalnum(c) || c == '.' || c == '_' || c == '-';
+}
+
+bool IsDigestDigit(unsigned char c) {
+  return absl::ascii_isdigit(c) || (c >= 'a' && c <= 'f');
+}
+
+// Stores the text of `value` if it is one and `fits` holds for it.
+template <typename Fits>
+bool ParseText(const nlohmann::json& value, std::string* out,
+               const Fits& fits) {
+  if (!value.is_string()) return false;
+  const auto& text = value.get_ref<const std::string&>();
+  if (!fits(text)) return false;
+  *out = text;
+  return true;
+}
+
+}  // namespace
+
+bool Identifier::Parse(const nlohmann::json& value, std::string* out) const {
+  return ParseText(value, out, [](const std::string& text) {
+    return !text.empty() && text.size() <= kMaxIdentifierBytes &&
+           std::all_of(text.begin(), text.end(), IsIdentifierCharacter);
+  });
+}
+
+bool IpNumber::Parse(const nlohmann::json& value, std::string* out) const {
+  return ParseText(value, out, [](const std::string& text) {
+    in6_addr buf{};
+    return inet_pton(AF_INET, text.c_str(), &buf) == 1 ||
+           inet_pton(AF_INET6, text.c_str(), &buf) == 1;
+  });
+}
+
+bool Secret::Parse(const nlohmann::json& value, std::string* out) const {
+  return ParseText(value, out, [this](const std::string& text) {
+    return text.size() >= least;
+  });
+}
+
+bool Sha256Digest::Parse(const nlohmann::json& value, std::string* out) const {
+  return ParseText(value, out, [](const std::string& text) {
+    return text.size() == kDigestDigits &&
+           std::all_of(text.begin(), text.end(), IsDigestDigit);
+  });
+}
+
+bool FilePath::Parse(const nlohmann::json& value, std::string* out) const {
+  return ParseText(value, out,
+                   [](const std::string& text) { return !text.empty(); });
+}
+
+}  // namespace wisteriareel::settings
--- /dev/null
+++ b/src/settings/settings_checks.h
@@ -0,0 +1,154 @@
+#ifndef WISTERIAREEL_SRC_SETTINGS_SETTINGS_CHECKS_H_
+#define WISTERIAREEL_SRC_SETTINGS_SETTINGS_CHECKS_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/time/time.h"
+#include "nlohmann/json.hpp"
+#include "wisteriareel/strong_string.h"
+
+// Checks of single settings. Each has Expectation(), which says in words what
+// it accepts, and Parse(), which returns whether the JSON value fits and then
+// stores it. `kSecret` keeps the value out of problem lists.
+namespace wisteriareel::settings {
+
+// An integer from `least` to `most`.
+struct Count {
+  static constexpr bool kSecret = false;
+  std::int64_t least = 0;
+  std::int64_t most = 0;
+
+  std::string Expectation() const {
+    return absl::StrCat("an integer from ", least, " to ", most);
+  }
+
+  template <typename T>
+  bool Parse(const nlohmann::json& value, T* out) const {
+    if (!value.is_number_integer()) return false;
+    // An unsigned value beyond int64 would wrap to a negative one.
+    if (value.is_number_unsigned() && value.get<std::uint64_t>() > INT64_MAX) {
+      return false;
+    }
+    const auto n = value.get<std::int64_t>();
+    if (n < least || n > most) return false;
+    *out = static_cast<T>(n);
+    return true;
+  }
+};
+
+// A duration from `least` to `most`, written as whole milliseconds.
+struct Milliseconds {
+  static constexpr bool kSecret = false;
+  absl::Duration least;
+  absl::Duration most;
+
+  std::string Expectation() const {
+    return absl::StrCat("milliseconds, an integer from ",
+                        absl::ToInt64Milliseconds(least), " to ",
+                        absl::ToInt64Milliseconds(most));
+  }
+
+  bool Parse(const nlohmann::json& value, absl::Duration* out) const {
+    std::int64_t n = 0;
+    const Count count{absl::ToInt64Milliseconds(least),
+                      absl::ToInt64Milliseconds(most)};
+    if (!count.Parse(value, &n)) return false;
+    *out = absl::Milliseconds(n);
+    return true;
+  }
+};
+
+// An identifier.
+struct Identifier {
+  static constexpr bool kSecret = false;
+
+  std::string Expectation() const {
+    return "1 to 128 characters of [A-Za-z0-9._-]";
+  }
+
+  bool Parse(const nlohmann::json& value, std::string* out) const;
+
+  template <typename Tag>
+  bool Parse(const nlohmann::json& value, StrongString<Tag>* out) const {
+    std::string text;
+    if (!Parse(value, &text)) return false;
+    *out = StrongString<Tag>(std::move(text));
+    return true;
+  }
+};
+
+// An IP number, version 4 or 6.
+struct IpNumber {
+  static constexpr bool kSecret = false;
+
+  std::string Expectation() const { return "an IP number"; }
+  bool Parse(const nlohmann::json& value, std::string* out) const;
+};
+
+// A secret of at least `least` characters.
+struct Secret {
+  static constexpr bool kSecret = true;
+  std::size_t least = 0;
+
+  std::string Expectation() const {
+    return absl::StrCat("a secret of at least ", least, " characters");
+  }
+  bool Parse(const nlohmann::json& value, std::string* out) const;
+};
+
+// The hexadecimal SHA-256 of a secret.
+struct Sha256Digest {
+  static constexpr bool kSecret = true;
+
+  std::string Expectation() const {
+    return "a SHA-256 digest: 64 lower-case hexadecimal digits";
+  }
+  bool Parse(const nlohmann::json& value, std::string* out) const;
+};
+
+// The path of a file.
+struct FilePath {
+  static constexpr bool kSecret = false;
+
+  std::string Expectation() const { return "the path of a file"; }
+  bool Parse(const nlohmann::json& value, std::string* out) const;
+};
+
+// One of several named values.
+template <typename T>
+struct Choice {
+  struct Option {
+    std::string name;
+    T value;
+  };
+  static constexpr bool kSecret = false;
+  std::vector<Option> options;
+
+  std::string Expectation() const {
+    return absl::StrCat(
+        "one of ", absl::StrJoin(options, ", ",
+                                 [](std::string* out, const Option& option) {
+                                   absl::StrAppend(out, "\"", option.name,
+                                                   "\"");
+                                 }));
+  }
+
+  bool Parse(const nlohmann::json& value, T* out) const {
+    if (!value.is_string()) return false;
+    for (const Option& option : options) {
+      if (value.get_ref<const std::string&>() != option.name) continue;
+      *out = option.value;
+      return true;
+    }
+    return false;
+  }
+};
+
+}  // namespace wisteriareel::settings
+
+#endif  // WISTERIAREEL_SRC_SETTINGS_SETTINGS_CHECKS_H_
