Describe and serve the operators' calls

The schema covers customers, keys, budgets, pools, targets, rules, plans, roll-out, drain, records and claims. Each method names the role it needs; the server answers UNIMPLEMENTED for a part that an instance lacks.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -39,6 +39,14 @@
   // 1600-1699 membership.
   // 1700-1799 lifecycle.
   // 1800-1899 http, rpc, peer.
+  kOperatorRefused = 1850,
+  kOperatorOrderAccepted = 1851,
+  kOperatorListening = 1852,
+  kPeerRefused = 1860,
+  kPeerConnected = 1861,
+  kPeerLost = 1862,
+  kPeerFrameRefused = 1863,
+  kPeerListening = 1864,
 };
 
 enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
--- /dev/null
+++ b/src/rpc/night_report.h
@@ -0,0 +1,38 @@
+#ifndef WISTERIAREEL_SRC_RPC_NIGHT_REPORT_H_
+#define WISTERIAREEL_SRC_RPC_NIGHT_REPORT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "wisteriareel/reason.h"
+#include "wisteriareel/request_record.h"
+#include "wisteriareel/types.h"
+#include "wisteriareel/verdict.h"
+
+namespace wisteriareel {
+
+// Requests of one customer that ended the same way.
+struct NightReportLine {
+  CustomerId customer;
+  Verdict verdict = Verdict::kNotRun;
+  Reason reason = Reason::kNone;
+  std::uint64_t requests = 0;
+  // Attempts beyond the first of each request.
+  std::uint64_t retries = 0;
+  Tokens prompt_tokens;
+  Tokens output_tokens;
+  Tokens billed;
+
+  friend bool operator==(const NightReportLine&,
+                         const NightReportLine&) = default;
+};
+
+// Returns one line per customer, verdict and reason found in `records`, in
+// that order. An empty `customer` means all customers. A record that appears
+// twice counts once.
+std::vector<NightReportLine> SumRecords(
+    const std::vector<RequestRecord>& records, const CustomerId& customer);
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_RPC_NIGHT_REPORT_H_
--- /dev/null
+++ b/src/rpc/operator_call.h
@@ -0,0 +1,55 @@
+#ifndef WISTERIAREEL_SRC_RPC_OPERATOR_CALL_H_
+#define WISTERIAREEL_SRC_RPC_OPERATOR_CALL_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "grpcpp/grpcpp.h"
+#include "src/rpc/operator_server.h"
+#include "src/security/operator_credentials.h"
+#include "wisteriareel/reason.h"
+
+namespace wisteriareel {
+
+// Trailing metadata that carries the stable name of the reason for a failure.
+inline constexpr char kReasonMetadata[] = "wisteriareel-reason";
+
+// Returns the gRPC status code for a failure.
+grpc::StatusCode StatusCodeOf(Reason reason);
+
+// One call of an operator: who makes it, how long it may take and how it
+// ended. Lives on the thread that serves the call.
+class OperatorCall {
+ public:
+  // `services` and `context` must outlive the call.
+  OperatorCall(const OperatorServices& services, grpc::ServerContext* context);
+
+  // Checks the caller's credential for `needed`. Returns false with the
+  // status set if the caller is refused; that is counted and logged.
+  bool Admit(OperatorRole needed, std::string_view method);
+
+  // Returns OK, or why the call was refused or failed.
+  const grpc::Status& status() const { return status_; }
+
+  const std::string& operator_name() const { return operator_name_; }
+
+  // Returns the time left for the platform, at most the configured timeout.
+  absl::Duration timeout() const;
+
+  // Sets and returns the status of a failed call.
+  grpc::Status Fail(const LastReason& reason);
+  grpc::Status Fail(Reason reason, const std::string& detail);
+
+ private:
+  const OperatorServices& services_;
+  grpc::ServerContext* const context_;
+  const absl::Time started_;
+  std::string operator_name_;
+  grpc::Status status_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_RPC_OPERATOR_CALL_H_
--- /dev/null
+++ b/src/rpc/operator_service.h
@@ -0,0 +1,229 @@
+#ifndef WISTERIAREEL_SRC_RPC_OPERATOR_SERVICE_H_
+#define WISTERIAREEL_SRC_RPC_OPERATOR_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/rpc/operator_call.h"
+#include "src/rpc/operator_server.h"
+#include "wisteriareel/config_store.h"
+#include "wisteriareel/config_types.h"
+#include "wisteriareel/v1/operator.grpc.pb.h"
+
+namespace wisteriareel {
+
+// Answers the operators' calls out of OperatorServices. Thread-safe. The
+// calls are spread over the *_calls.cc files by what they are about.
+class OperatorService final : public v1::OperatorService::Service {
+ public:
+  // `services` must outlive the service.
+  explicit OperatorService(const OperatorServices& services);
+
+  grpc::Status CreateCustomer(grpc::ServerContext* context,
+                              const v1::CreateCustomerRequest* request,
+                              v1::ChangeResponse* response) override;
+  grpc::Status UpdateCustomer(grpc::ServerContext* context,
+                              const v1::UpdateCustomerRequest* request,
+                              v1::ChangeResponse* response) override;
+  grpc::Status SuspendCustomer(grpc::ServerContext* context,
+                               const v1::SuspendCustomerRequest* request,
+                               v1::ChangeResponse* response) override;
+  grpc::Status GetCustomer(grpc::ServerContext* context,
+                           const v1::GetCustomerRequest* request,
+                           v1::GetCustomerResponse* response) override;
+  grpc::Status ListCustomers(grpc::ServerContext* context,
+                             const v1::ListCustomersRequest* request,
+                             v1::ListCustomersResponse* response) override;
+  grpc::Status CreateKey(grpc::ServerContext* context,
+                         const v1::CreateKeyRequest* request,
+                         v1::CreateKeyResponse* response) override;
+  grpc::Status RotateKey(grpc::ServerContext* context,
+                         const v1::RotateKeyRequest* request,
+                         v1::CreateKeyResponse* response) override;
+  grpc::Status RevokeKey(grpc::ServerContext* context,
+                         const v1::RevokeKeyRequest* request,
+                         v1::ChangeResponse* response) override;
+  grpc::Status ListKeys(grpc::ServerContext* context,
+                        const v1::ListKeysRequest* request,
+                        v1::ListKeysResponse* response) override;
+  grpc::Status CreateBudget(grpc::ServerContext* context,
+                            const v1::CreateBudgetRequest* request,
+                            v1::ChangeResponse* response) override;
+  grpc::Status FreezeBudget(grpc::ServerContext* context,
+                            const v1::FreezeBudgetRequest* request,
+                            v1::ChangeResponse* response) override;
+  grpc::Status TopUpBudget(grpc::ServerContext* context,
+                           const v1::TopUpBudgetRequest* request,
+                           v1::TopUpBudgetResponse* response) override;
+  grpc::Status GetBudget(grpc::ServerContext* context,
+                         const v1::GetBudgetRequest* request,
+                         v1::GetBudgetResponse* response) override;
+  grpc::Status ListBudgets(grpc::ServerContext* context,
+                           const v1::ListBudgetsRequest* request,
+                           v1::ListBudgetsResponse* response) override;
+  grpc::Status ListTopUps(grpc::ServerContext* context,
+                          const v1::ListTopUpsRequest* request,
+                          v1::ListTopUpsResponse* response) override;
+  grpc::Status PutPool(grpc::ServerContext* context,
+                       const v1::PutPoolRequest* request,
+                       v1::ChangeResponse* response) override;
+  grpc::Status RemovePool(grpc::ServerContext* context,
+                          const v1::RemoveRequest* request,
+                          v1::ChangeResponse* response) override;
+  grpc::Status GetPool(grpc::ServerContext* context,
+                       const v1::GetRequest* request,
+                       v1::GetPoolResponse* response) override;
+  grpc::Status ListPools(grpc::ServerContext* context,
+                         const v1::ListPoolsRequest* request,
+                         v1::ListPoolsResponse* response) override;
+  grpc::Status AddTarget(grpc::ServerContext* context,
+                         const v1::AddTargetRequest* request,
+                         v1::ChangeResponse* response) override;
+  grpc::Status DrainTarget(grpc::ServerContext* context,
+                           const v1::DrainTargetRequest* request,
+                           v1::ChangeResponse* response) override;
+  grpc::Status RemoveTarget(grpc::ServerContext* context,
+                            const v1::RemoveRequest* request,
+                            v1::ChangeResponse* response) override;
+  grpc::Status GetTarget(grpc::ServerContext* context,
+                         const v1::GetRequest* request,
+                         v1::GetTargetResponse* response) override;
+  grpc::Status ListTargets(grpc::ServerContext* context,
+                           const v1::ListTargetsRequest* request,
+                           v1::ListTargetsResponse* response) override;
+  grpc::Status PutIdempotencyRule(grpc::ServerContext* context,
+                                  const v1::PutIdempotencyRuleRequest* request,
+                                  v1::ChangeResponse* response) override;
+  grpc::Status RemoveIdempotencyRule(grpc::ServerContext* context,
+                                     const v1::RemoveRequest* request,
+                                     v1::ChangeResponse* response) override;
+  grpc::Status GetIdempotencyRule(
+      grpc::ServerContext* context, const v1::GetRequest* request,
+      v1::GetIdempotencyRuleResponse* response) override;
+  grpc::Status ListIdempotencyRules(
+      grpc::ServerContext* context,
+      const v1::ListIdempotencyRulesRequest* request,
+      v1::ListIdempotencyRulesResponse* response) override;
+  grpc::Status PutPoolPlan(grpc::ServerContext* context,
+                           const v1::PutPoolPlanRequest* request,
+                           v1::ChangeResponse* response) override;
+  grpc::Status RemovePoolPlan(grpc::ServerContext* context,
+                              const v1::RemoveRequest* request,
+                              v1::ChangeResponse* response) override;
+  grpc::Status GetPoolPlan(grpc::ServerContext* context,
+                           const v1::GetRequest* request,
+                           v1::GetPoolPlanResponse* response) override;
+  grpc::Status ListPoolPlans(grpc::ServerContext* context,
+                             const v1::ListPoolPlansRequest* request,
+                             v1::ListPoolPlansResponse* response) override;
+  grpc::Status GetRollout(grpc::ServerContext* context,
+                          const v1::GetRolloutRequest* request,
+                          v1::RolloutResponse* response) override;
+  grpc::Status AwaitRollout(grpc::ServerContext* context,
+                            const v1::AwaitRolloutRequest* request,
+                            v1::RolloutResponse* response) override;
+  grpc::Status GetStatus(grpc::ServerContext* context,
+                         const v1::GetStatusRequest* request,
+                         v1::GetStatusResponse* response) override;
+  grpc::Status DrainInstance(grpc::ServerContext* context,
+                             const v1::DrainInstanceRequest* request,
+                             v1::DrainInstanceResponse* response) override;
+  grpc::Status FindRequest(grpc::ServerContext* context,
+                           const v1::FindRequestRequest* request,
+                           v1::FindRequestResponse* response) override;
+  grpc::Status GetNightReport(grpc::ServerContext* context,
+                              const v1::GetNightReportRequest* request,
+                              v1::GetNightReportResponse* response) override;
+  grpc::Status ListClaims(grpc::ServerContext* context,
+                          const v1::ListClaimsRequest* request,
+                          v1::ListClaimsResponse* response) override;
+  grpc::Status ResolveClaim(grpc::ServerContext* context,
+                            const v1::ResolveClaimRequest* request,
+                            v1::ResolveClaimResponse* response) override;
+
+ private:
+  using Body = std::function<grpc::Status(OperatorCall& call)>;
+  using Edit = std::function<bool(ConfigValue* value)>;
+
+  // What a change asks for beside the changed entries.
+  struct ChangeTerms {
+    std::string order_id;
+    std::optional<std::uint64_t> expected_version;
+  };
+
+  // Admits the caller for `role` and runs `body`. `available` is false if the
+  // part that the call acts on is missing in this instance.
+  grpc::Status Serve(grpc::ServerContext* context, OperatorRole role,
+                     const char* method, bool available, const Body& body);
+  grpc::Status Read(grpc::ServerContext* context, const char* method,
+                    bool available, const Body& body);
+  grpc::Status Operate(grpc::ServerContext* context, const char* method,
+                       bool available, const Body& body);
+
+  // Applies `order`, repeating it with its id while replies are lost and time
+  // is left.
+  std::optional<AcceptedOrder> ApplySettled(const OperatorCall& call,
+                                            const ChangeOrder& order,
+                                            LastReason* reason);
+
+  // Applies `order`, logs it and fills `response`.
+  grpc::Status Commit(OperatorCall& call, const ChangeOrder& order,
+                      v1::ChangeResponse* response);
+
+  // Puts `value` under `terms`.
+  grpc::Status Put(OperatorCall& call, const ChangeTerms& terms,
+                   const ConfigValue& value, v1::ChangeResponse* response);
+
+  // Removes the entry that `request` names.
+  grpc::Status Remove(OperatorCall& call, ConfigKind kind,
+                      const v1::RemoveRequest& request,
+                      v1::ChangeResponse* response);
+
+  // Reads the entry, lets `edit` change it and puts it back. Repeats that if
+  // another order came between and the caller expects no version.
+  grpc::Status EditEntry(OperatorCall& call, const ChangeTerms& terms,
+                         const ConfigKey& key, const Edit& edit,
+                         v1::ChangeResponse* response);
+
+  // Reads an entry that must exist. Returns nullopt with a reason otherwise.
+  std::optional<EntryVersion> ReadExisting(const OperatorCall& call,
+                                           const ConfigKey& key,
+                                           LastReason* reason);
+
+  // Returns true if `key` exists. Asks the platform only if this instance's
+  // configuration doesn't hold it.
+  bool Exists(const OperatorCall& call, const ConfigKey& key,
+              LastReason* reason);
+
+  // Creates a key for `customer` and `budget` together with `changes`.
+  grpc::Status MakeKey(OperatorCall& call, const std::string& order_id,
+                       ApiKey key, std::vector<ConfigChange> changes,
+                       v1::CreateKeyResponse* response);
+
+  // Returns `order_id`, or a fresh one if it is empty.
+  static OrderId OrderIdOf(const std::string& order_id);
+
+  // Calls `emit` for the entries of `kind` of one page for which `matches`
+  // holds, and sets the token of the next page and the revision.
+  template <typename Value, typename Request, typename Response>
+  grpc::Status ListPage(ConfigKind kind, const Request& request,
+                        Response* response,
+                        const std::function<bool(const Value&)>& matches,
+                        const std::function<void(const Value&)>& emit);
+
+  // Reads the entry `key` and passes it to `emit` with its version.
+  template <typename Value, typename Response>
+  grpc::Status GetEntry(OperatorCall& call, const ConfigKey& key,
+                        Response* response,
+                        const std::function<void(const Value&)>& emit);
+
+  const OperatorServices& services_;
+  const absl::Time started_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_RPC_OPERATOR_SERVICE_H_
--- /dev/null
+++ b/src/rpc/operator_validation.cc
@@ -0,0 +1,153 @@
+#include "src/rpc/operator_validation.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cctype>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr std::uint32_t kMaxPort = 65535;
+
+bool Refuse(const std::string& field, const std::string& expectation,
+            LastReason* reason) {
+  reason->Set(Reason::kMalformed, absl::StrCat(field, ": ", expectation));
+  return false;
+}
+
+bool IsIdCharacter(char c) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '.' ||
+         c == '_' || c == '-';
+}
+
+// Names of models and adapters may carry an owner, as in "owner/name".
+bool IsNameCharacter(char c) {
+  return IsIdCharacter(c) || c == '/' || c == ':';
+}
+
+bool CheckText(const std::string& field, const std::string& text,
+               LastReason* reason) {
+  const bool printable = std::none_of(text.begin(), text.end(), [](char c) {
+    return absl::ascii_iscntrl(static_cast<unsigned char>(c));
+  });
+  if (printable && text.size() <= kMaxNameBytes) return true;
+  return Refuse(field,
+                absl::StrCat("at most ", kMaxNameBytes,
+                             " bytes without control characters"),
+                reason);
+}
+
+template <typename Names>
+bool CheckNames(const std::string& field, const Names& names,
+                LastReason* reason) {
+  if (names.size() > kMaxListedNames) {
+    return Refuse(field, absl::StrCat("at most ", kMaxListedNames), reason);
+  }
+  for (const std::string& name : names) {
+    const bool fits = !name.empty() && name.size() <= kMaxNameBytes &&
+                      std::all_of(name.begin(), name.end(), IsNameCharacter);
+    if (fits) continue;
+    return Refuse(field, "1 to 128 bytes of [A-Za-z0-9._:/-] each", reason);
+  }
+  return true;
+}
+
+bool IsIpNumber(const std::string& host) {
+  in6_addr buf{};
+  return inet_pton(AF_INET, host.c_str(), &buf) == 1 ||
+         inet_pton(AF_INET6, host.c_str(), &buf) == 1;
+}
+
+}  // namespace
+
+bool CheckId(const std::string& field, const std::string& id,
+             LastReason* reason) {
+  const bool fits = !id.empty() && id.size() <= kMaxNameBytes &&
+                    std::all_of(id.begin(), id.end(), IsIdCharacter);
+  return fits || Refuse(field, "1 to 128 bytes of [A-Za-z0-9._-]", reason);
+}
+
+bool Check(const v1::Customer& customer, LastReason* reason) {
+  return CheckId("customer.id", customer.id(), reason) &&
+         CheckText("customer.display_name", customer.display_name(), reason);
+}
+
+bool Check(const v1::Budget& budget, LastReason* reason) {
+  return CheckId("budget.id", budget.id(), reason) &&
+         CheckId("budget.customer_id", budget.customer_id(), reason);
+}
+
+bool Check(const v1::Pool& pool, LastReason* reason) {
+  if (!CheckId("pool.id", pool.id(), reason)) return false;
+  if (!CheckNames("pool.models", pool.models(), reason)) return false;
+  if (!CheckText("pool.path_prefix", pool.path_prefix(), reason)) return false;
+  if (pool.service_call_tokens() < 0) {
+    return Refuse("pool.service_call_tokens", "0 or more", reason);
+  }
+  switch (pool.kind()) {
+    case v1::POOL_KIND_MODEL:
+      if (pool.models().empty()) {
+        return Refuse("pool.models", "at least one for a model pool", reason);
+      }
+      return pool.path_prefix().empty() ||
+             Refuse("pool.path_prefix", "empty for a model pool", reason);
+    case v1::POOL_KIND_SERVICE:
+      if (!pool.models().empty()) {
+        return Refuse("pool.models", "none for a service pool", reason);
+      }
+      return pool.path_prefix().substr(0, 1) == "/" ||
+             Refuse("pool.path_prefix", "starts with / for a service pool",
+                    reason);
+    default:
+      return Refuse("pool.kind", "POOL_KIND_MODEL or POOL_KIND_SERVICE",
+                    reason);
+  }
+}
+
+bool Check(const v1::Target& target, LastReason* reason) {
+  if (!CheckId("target.id", target.id(), reason) ||
+      !CheckId("target.pool_id", target.pool_id(), reason) ||
+      !CheckId("target.region", target.region(), reason) ||
+      !CheckId("target.zone", target.zone(), reason)) {
+    return false;
+  }
+  if (!IsIpNumber(target.host())) {
+    return Refuse("target.host", "an IP number", reason);
+  }
+  const bool port_fits = target.port() > 0 && target.port() <= kMaxPort;
+  return port_fits || Refuse("target.port", "1 to 65535", reason);
+}
+
+bool Check(const v1::IdempotencyRule& rule, LastReason* reason) {
+  if (!CheckId("rule.id", rule.id(), reason) ||
+      !CheckId("rule.pool_id", rule.pool_id(), reason) ||
+      !CheckText("rule.path_prefix", rule.path_prefix(), reason)) {
+    return false;
+  }
+  const std::string& method = rule.method();
+  const bool method_fits =
+      method.empty() || method == "*" ||
+      std::all_of(method.begin(), method.end(),
+                  [](unsigned char c) { return absl::ascii_isupper(c); });
+  return method_fits ||
+         Refuse("rule.method", "an upper-case HTTP method or *", reason);
+}
+
+bool Check(const v1::PoolPlan& plan, LastReason* reason) {
+  if (!CheckId("plan.pool_id", plan.pool_id(), reason) ||
+      !CheckNames("plan.loaded_models", plan.loaded_models(), reason) ||
+      !CheckNames("plan.loaded_adapters", plan.loaded_adapters(), reason) ||
+      !CheckText("plan.version", plan.version(), reason)) {
+    return false;
+  }
+  const std::string& role = plan.role();
+  const bool role_fits =
+      role.empty() || role == "prefill" || role == "decode" || role == "both";
+  return role_fits || Refuse("plan.role", "prefill, decode or both", reason);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/rpc/tls_credentials.cc
@@ -0,0 +1,64 @@
+#include "src/rpc/tls_credentials.h"
+
+#include <algorithm>
+#include <fstream>
+#include <string>
+
+#include "grpcpp/security/tls_certificate_provider.h"
+#include "grpcpp/security/tls_credentials_options.h"
+
+namespace wisteriareel {
+namespace {
+
+namespace tls = grpc::experimental;
+
+// The provider would wait in silence for a file that isn't there.
+bool Readable(const std::string& path, LastReason* reason) {
+  if (path.empty() || std::ifstream(path).good()) return true;
+  reason->Set(Reason::kUnavailable, "can't read " + path);
+  return false;
+}
+
+bool AllReadable(const TlsFiles& files, LastReason* reason) {
+  return Readable(files.certificate_file, reason) &&
+         Readable(files.key_file, reason) && Readable(files.ca_file, reason);
+}
+
+std::shared_ptr<tls::FileWatcherCertificateProvider> Watch(
+    const TlsFiles& files) {
+  const auto seconds = static_cast<unsigned int>(
+      std::max<std::int64_t>(1, absl::ToInt64Seconds(files.reload)));
+  return std::make_shared<tls::FileWatcherCertificateProvider>(
+      files.key_file, files.certificate_file, files.ca_file, seconds);
+}
+
+}  // namespace
+
+std::shared_ptr<grpc::ServerCredentials> ServerTlsCredentials(
+    const TlsFiles& files, LastReason* reason) {
+  if (!files.enabled()) return grpc::InsecureServerCredentials();
+  if (!AllReadable(files, reason)) return nullptr;
+  tls::TlsServerCredentialsOptions options(Watch(files));
+  options.watch_identity_key_cert_pairs();
+  if (files.ca_file.empty()) {
+    options.set_cert_request_type(GRPC_SSL_DONT_REQUEST_CLIENT_CERTIFICATE);
+  } else {
+    options.watch_root_certs();
+    options.set_cert_request_type(
+        GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY);
+  }
+  return tls::TlsServerCredentials(options);
+}
+
+std::shared_ptr<grpc::ChannelCredentials> ChannelTlsCredentials(
+    const TlsFiles& files, LastReason* reason) {
+  if (!files.enabled()) return grpc::InsecureChannelCredentials();
+  if (!AllReadable(files, reason)) return nullptr;
+  tls::TlsChannelCredentialsOptions options;
+  options.set_certificate_provider(Watch(files));
+  if (!files.certificate_file.empty()) options.watch_identity_key_cert_pairs();
+  options.watch_root_certs();
+  return tls::TlsCredentials(options);
+}
+
+}  // namespace wisteriareel
