--- a/src/rpc/budget_calls.cc
+++ b/src/rpc/budget_calls.cc
@@ -82,7 +82,7 @@
   const bool available =
       services_.config_store != nullptr && services_.budget_admin != nullptr;
   return Read(context, "GetBudget", available, [&](OperatorCall& call) {
-    const grpc::Status read =
+    grpc::Status read =
         GetEntry<Budget>(call, {ConfigKind::kBudget, request->budget_id()},
                          response, [&](const Budget& budget) {
                            *response->mutable_budget() = ToProto(budget);
--- a/src/rpc/customer_calls.cc
+++ b/src/rpc/customer_calls.cc
@@ -122,7 +122,7 @@
                           .operator_name = call.operator_name(),
                           .changes = std::move(changes),
                           .companion = {}};
-  const grpc::Status status = Commit(call, order, response->mutable_change());
+  grpc::Status status = Commit(call, order, response->mutable_change());
   if (!status.ok()) return status;
   LastReason reason;
   // A repeated order made a key earlier, whose secret may have been lost with
--- a/test/observability_test.cc
+++ b/test/observability_test.cc
@@ -18,6 +18,10 @@
 
 using testing::HasSubstr;
 
+constexpr int kThreads = 12;
+constexpr int kRounds = 1000;
+constexpr double kTotal = kThreads * kRounds;
+
 class CountersPageTest : public testing::Test {
  protected:
   // Returns the value of the line that starts with `name`, -1 without one.
@@ -54,9 +58,8 @@
 }
 
 TEST_F(CountersPageTest, LosesNoCountOfManyThreads) {
-  constexpr int kThreads = 12;
-  constexpr int kRounds = 1000;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (int t = 0; t < kThreads; ++t) {
     threads.emplace_back([this] {
       for (int n = 0; n < kRounds; ++n) {
@@ -68,7 +71,6 @@
     });
   }
   for (std::thread& thread : threads) thread.join();
-  constexpr double kTotal = kThreads * kRounds;
   EXPECT_EQ(ValueOf("wisteriareel_refused_total{reason=\"queue_full\"}"),
             kTotal);
   EXPECT_EQ(ValueOf("wisteriareel_retried_total{reason=\"stream_stalled\"}"),
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -46,6 +46,7 @@
   const std::optional<Settings> settings = ParseSettings(text, &problems);
   EXPECT_EQ(settings.has_value(), problems.empty());
   std::vector<std::string> lines;
+  lines.reserve(problems.size());
   for (const SettingsProblem& it : problems) {
     lines.push_back(absl::StrCat(it.path, ": ", it.expectation));
   }
@@ -53,7 +54,7 @@
 }
 
 std::string Changed(const std::string& from, const std::string& to) {
-  const std::string text = absl::StrReplaceAll(GoodSettings(), {{from, to}});
+  std::string text = absl::StrReplaceAll(GoodSettings(), {{from, to}});
   EXPECT_NE(text, GoodSettings()) << "nothing to replace: " << from;
   return text;
 }
