Keep configuration as versioned rows and follow it at every instance

Members of a zone exchange heartbeats, suspect before they declare dead, and refute by incarnation; zones relate through ranked members. The roll-out report names instances that lag.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -36,8 +36,28 @@
   kTargetReadmitted = 1401,
 
   // 1500-1599 config.
+  kConfigLoaded = 1500,
+  kConfigReadWhole = 1501,
+  kConfigDigestMismatch = 1502,
+  kConfigHeadBehind = 1503,
+  kConfigPlatformAway = 1504,
+  kConfigPlatformBack = 1505,
+
   // 1600-1699 membership.
+  kMemberSuspected = 1600,
+  kMemberDead = 1601,
+  kMemberAlive = 1602,
+  kSuspicionRefuted = 1603,
+  kTargetLeaving = 1604,
+  kInstanceListAway = 1605,
+
   // 1700-1799 lifecycle.
+  kLeaseTaken = 1700,
+  kLeaseLost = 1701,
+  kTargetOrderDone = 1702,
+  kTargetOrderFailed = 1703,
+  kPoolConverged = 1704,
+
   // 1800-1899 http, rpc, peer.
   kOperatorRefused = 1850,
   kOperatorOrderAccepted = 1851,
--- /dev/null
+++ b/include/wisteriareel/membership.h
@@ -0,0 +1,93 @@
+#ifndef WISTERIAREEL_MEMBERSHIP_H_
+#define WISTERIAREEL_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "wisteriareel/clock.h"
+#include "wisteriareel/config_snapshot.h"
+#include "wisteriareel/counters.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/instance_list.h"
+#include "wisteriareel/membership_view.h"
+#include "wisteriareel/peer_transport.h"
+#include "wisteriareel/random_source.h"
+#include "wisteriareel/rollout_view.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+// Knows which instances are alive, which revisions they have in force and
+// which targets are leaving. Thread-safe; Step runs on one thread at a time.
+class Membership final : public MembershipView,
+                         public RolloutView,
+                         public PeerReceiver {
+ public:
+  // Pause between two reads of the platform's list by the zone's first
+  // instance in rendezvous order, and by all others.
+  static constexpr absl::Duration kDefaultReaderPoll = absl::Seconds(2);
+  static constexpr absl::Duration kDefaultBackstopPoll = absl::Seconds(30);
+  static constexpr absl::Duration kDefaultListTimeout = absl::Seconds(1);
+  static constexpr absl::Duration kDefaultLongestPause =
+      absl::Milliseconds(250);
+
+  struct Options {
+    InstanceId self;
+    RegionId region;
+    ZoneId zone;
+    // Where peers reach this instance.
+    Endpoint endpoint;
+    // Must grow with each restart; zero takes the clock's milliseconds.
+    std::uint64_t incarnation = 0;
+    // Instances to start from while the platform's list can't be read.
+    std::vector<ListedInstance> seeds;
+    // None is owned; all must outlive the membership.
+    Clock* clock = SystemClock();
+    InstanceList* list = nullptr;
+    PeerTransport* transport = nullptr;
+    const ConfigView* config = nullptr;
+    RandomSource* random = nullptr;
+    Counters* counters = DiscardCounters();
+    EventLog* events = DiscardEvents();
+    // Called when Step has something to do at once; wakes the loop.
+    std::function<void()> wake;
+    absl::Duration reader_poll = kDefaultReaderPoll;
+    absl::Duration backstop_poll = kDefaultBackstopPoll;
+    absl::Duration list_timeout = kDefaultListTimeout;
+    absl::Duration longest_pause = kDefaultLongestPause;
+  };
+
+  explicit Membership(Options options);
+  ~Membership() override;
+
+  // Reads the platform's list if that is due, sends heartbeats, digests and
+  // notes that are due. Returns how long to wait before the next step.
+  absl::Duration Step();
+
+  // Notes that this instance heard `target` say that it is leaving, and
+  // spreads it to the zone.
+  void ReportTargetLeaving(const TargetId& target);
+
+  std::vector<Member> ZoneMembers() const override;
+  std::vector<Member> AllMembers() const override;
+  std::optional<Member> FindMember(const InstanceId& id) const override;
+  bool TargetLeaving(const TargetId& target) const override;
+
+  std::vector<RolloutLine> Lines() const override;
+  void Expect(Revision revision) override;
+
+  // Takes kHeartbeat, kZoneDigest and kTargetState.
+  void OnPeerMessage(const InstanceId& sender,
+                     const PeerMessage& message) override;
+
+ private:
+  class State;
+  const std::unique_ptr<State> state_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_MEMBERSHIP_H_
--- a/include/wisteriareel/membership_view.h
+++ b/include/wisteriareel/membership_view.h
@@ -2,6 +2,7 @@
 #define WISTERIAREEL_MEMBERSHIP_VIEW_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -37,6 +38,14 @@
   // Returns all members that this instance hears of.
   virtual std::vector<Member> AllMembers() const = 0;
 
+  // Returns the member named `id` if this instance knows its endpoint.
+  virtual std::optional<Member> FindMember(const InstanceId& id) const {
+    for (const Member& member : AllMembers()) {
+      if (member.id == id) return member;
+    }
+    return std::nullopt;
+  }
+
   // Returns true while the platform's list or a peer says that `target` is
   // leaving.
   virtual bool TargetLeaving(const TargetId& target) const = 0;
--- /dev/null
+++ b/src/config/config_json.h
@@ -0,0 +1,23 @@
+#ifndef WISTERIAREEL_SRC_CONFIG_CONFIG_JSON_H_
+#define WISTERIAREEL_SRC_CONFIG_CONFIG_JSON_H_
+
+#include <optional>
+
+#include "nlohmann/json.hpp"
+#include "wisteriareel/config_delta.h"
+
+// Shared by the codecs of rows and of peer messages; included by them alone.
+// Readers throw nlohmann::json::exception on anything malformed.
+
+namespace wisteriareel {
+
+nlohmann::json ToJson(const ConfigValue& value);
+ConfigValue ValueFromJson(ConfigKind kind, const nlohmann::json& object);
+nlohmann::json ToJson(const VersionedEntry& entry);
+VersionedEntry EntryFromJson(const nlohmann::json& object);
+nlohmann::json ToJson(const ConfigDelta& delta);
+ConfigDelta DeltaFromJson(const nlohmann::json& object);
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_CONFIG_CONFIG_JSON_H_
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,321 @@
+#include "wisteriareel/membership.h"
+
+#include <algorithm>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "src/membership/leaving_targets.h"
+#include "src/membership/member_messages.h"
+#include "src/membership/zone_detector.h"
+#include "src/membership/zone_relay.h"
+#include "wisteriareel/published.h"
+#include "wisteriareel/rendezvous.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr absl::Duration kShortestPause = absl::Milliseconds(5);
+constexpr double kPollJitter = 0.1;
+
+Member SelfOf(const Membership::Options& options) {
+  const auto started =
+      static_cast<std::uint64_t>(absl::ToUnixMillis(options.clock->Now()));
+  return {
+      .id = options.self,
+      .region = options.region,
+      .zone = options.zone,
+      .endpoint = options.endpoint,
+      .incarnation = options.incarnation == 0 ? started : options.incarnation,
+      .last_heard = options.clock->Now()};
+}
+
+}  // namespace
+
+class Membership::State {
+ public:
+  explicit State(Options options)
+      : options_(std::move(options)),
+        detector_(SelfOf(options_)),
+        relay_(options_.zone) {
+    TakeList(options_.seeds);
+  }
+
+  absl::Duration Step() {
+    if (options_.clock->Now() >= next_list_) ReadList();
+    std::vector<Outgoing> outgoing;
+    absl::Duration pause = options_.longest_pause;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      const absl::Time now = options_.clock->Now();
+      std::vector<MemberChange> changes;
+      detector_.Tick(options_.config->Current()->revision(), now, &outgoing,
+                     &changes);
+      const std::vector<Member> members = detector_.Members();
+      relay_.Tick(options_.self, members, now, &outgoing);
+      SpreadNotes(members, now, &outgoing);
+      Report(changes);
+      PublishLeaving();
+      pause = std::min(pause, leaving_.NextSend() - now);
+    }
+    Send(outgoing);
+    return std::max(pause, kShortestPause);
+  }
+
+  void ReportTargetLeaving(const TargetId& target) {
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      leaving_.OnReport(target, options_.clock->Now());
+      PublishLeaving();
+    }
+    if (options_.wake) options_.wake();
+  }
+
+  void Receive(const InstanceId& sender, const PeerMessage& message) {
+    const auto decoded = DecodeMemberMessage(message);
+    if (!decoded) {
+      options_.counters->Refused(Reason::kPeerFrameMalformed);
+      return;
+    }
+    std::vector<Outgoing> outgoing;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      std::visit([&](const auto& known) { On(sender, known, &outgoing); },
+                 *decoded);
+    }
+    Send(outgoing);
+  }
+
+  std::vector<Member> ZoneMembers() const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return detector_.Members();
+  }
+
+  std::vector<Member> AllMembers() const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<Member> members = detector_.Members();
+    for (Member& contact : relay_.Contacts()) {
+      members.push_back(std::move(contact));
+    }
+    return members;
+  }
+
+  std::optional<Member> Find(const InstanceId& id) const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (const Member& member : detector_.Members()) {
+      if (member.id == id) return member;
+    }
+    const Member* member = relay_.Find(id);
+    if (member == nullptr) return std::nullopt;
+    return *member;
+  }
+
+  bool TargetLeaving(const TargetId& target) const {
+    return published_leaving_.Load()->contains(target);
+  }
+
+  std::vector<RolloutLine> Lines() const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const absl::Time now = options_.clock->Now();
+    std::vector<RolloutLine> lines;
+    for (const Member& member : detector_.Members()) {
+      if (member.state == MemberState::kDead) continue;
+      if (member.id == options_.self) {
+        lines.push_back({member.id, member.zone,
+                         options_.config->Current()->revision(),
+                         absl::ZeroDuration()});
+        continue;
+      }
+      lines.push_back(
+          {member.id, member.zone, member.revision, now - member.last_heard});
+    }
+    relay_.AppendLines(now, &lines);
+    std::sort(lines.begin(), lines.end(),
+              [](const RolloutLine& a, const RolloutLine& b) {
+                return std::tie(a.zone, a.instance) <
+                       std::tie(b.zone, b.instance);
+              });
+    return lines;
+  }
+
+  void Expect(Revision revision) {
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      relay_.Expect(revision, options_.clock->Now());
+    }
+    if (options_.wake) options_.wake();
+  }
+
+ private:
+  void On(const InstanceId& sender, const Heartbeat& heartbeat,
+          std::vector<Outgoing>* /*outgoing*/) {
+    std::vector<MemberChange> changes;
+    const bool refute = detector_.OnHeartbeat(sender, heartbeat,
+                                              options_.clock->Now(), &changes);
+    Report(changes);
+    if (!refute) return;
+    options_.events->Write(EventId::kSuspicionRefuted, Severity::kWarning,
+                           "others did not hear this instance",
+                           {{"instance", sender.value()}});
+  }
+
+  void On(const InstanceId& sender, const ZoneDigest& digest,
+          std::vector<Outgoing>* outgoing) {
+    relay_.OnDigest(sender, digest, options_.clock->Now());
+    if (!digest.reply_wanted) return;
+    const Member* member = relay_.Find(sender);
+    if (member == nullptr) return;
+    outgoing->push_back(
+        {sender, member->endpoint,
+         MakeDigest(options_.zone, options_.self, detector_.Members())});
+  }
+
+  void On(const InstanceId& /*sender*/, const TargetNote& note,
+          std::vector<Outgoing>* /*outgoing*/) {
+    leaving_.OnNote(note, options_.clock->Now());
+    PublishLeaving();
+  }
+
+  void SpreadNotes(const std::vector<Member>& members, absl::Time now,
+                   std::vector<Outgoing>* outgoing) {
+    for (const TargetNote& note : leaving_.Tick(now)) {
+      for (const Member& member : members) {
+        if (member.id == options_.self) continue;
+        if (member.state == MemberState::kDead) continue;
+        outgoing->push_back({member.id, member.endpoint, note});
+      }
+    }
+  }
+
+  void ReadList() {
+    LastReason reason;
+    const auto listed = options_.list->List(options_.list_timeout, &reason);
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (listed) TakeList(*listed);
+    if (listed.has_value() == list_away_) {
+      list_away_ = !listed;
+      if (list_away_) {
+        options_.events->Write(EventId::kInstanceListAway, Severity::kWarning,
+                               "the platform's list can't be read",
+                               {{"detail", reason.detail()}});
+      }
+    }
+    const double jitter =
+        1 + kPollJitter * (2 * options_.random->Fraction() - 1);
+    next_list_ = options_.clock->Now() +
+                 jitter * (IsListReader() ? options_.reader_poll
+                                          : options_.backstop_poll);
+  }
+
+  void TakeList(const std::vector<ListedInstance>& listed) {
+    const absl::Time now = options_.clock->Now();
+    std::vector<MemberChange> changes;
+    detector_.OnList(listed, now, &changes);
+    relay_.OnList(listed);
+    leaving_.OnList(listed, now);
+    Report(changes);
+    PublishLeaving();
+  }
+
+  bool IsListReader() const {
+    std::vector<InstanceId> heard;
+    for (const Member& member : detector_.Members()) {
+      const bool counts =
+          member.state == MemberState::kAlive || member.id == options_.self;
+      if (counts) heard.push_back(member.id);
+    }
+    return RendezvousRank(absl::StrCat("list/", options_.zone.value()),
+                          options_.self, heard) == 0;
+  }
+
+  void PublishLeaving() {
+    if (!leaving_.TakeChanged()) return;
+    const auto before = published_leaving_.Load();
+    auto after = std::make_shared<const TargetSet>(leaving_.Leaving());
+    for (const TargetId& target : *after) {
+      if (before->contains(target)) continue;
+      options_.events->Write(EventId::kTargetLeaving, Severity::kInfo,
+                             "target is leaving", {{"target", target.value()}});
+    }
+    published_leaving_.Store(std::move(after));
+  }
+
+  void Report(const std::vector<MemberChange>& changes) {
+    for (const MemberChange& change : changes) {
+      const std::vector<EventField> fields = {{"instance", change.id.value()}};
+      switch (change.state) {
+        case MemberState::kSuspect:
+          options_.events->Write(EventId::kMemberSuspected, Severity::kInfo,
+                                 "instance is silent", fields);
+          break;
+        case MemberState::kDead:
+          options_.events->Write(EventId::kMemberDead, Severity::kWarning,
+                                 "instance is taken for dead", fields);
+          break;
+        case MemberState::kAlive:
+        case MemberState::kLeaving:
+          options_.events->Write(EventId::kMemberAlive, Severity::kInfo,
+                                 "instance is heard", fields);
+          break;
+      }
+    }
+  }
+
+  void Send(const std::vector<Outgoing>& outgoing) {
+    for (const Outgoing& message : outgoing) {
+      options_.transport->Send(message.to, message.endpoint,
+                               EncodeMemberMessage(message.message));
+    }
+  }
+
+  const Options options_;
+  mutable std::mutex mutex_;
+  ZoneDetector detector_;
+  ZoneRelay relay_;
+  LeavingTargets leaving_;
+  bool list_away_ = false;
+  Published<TargetSet> published_leaving_;
+  // Belongs to the thread that runs Step.
+  absl::Time next_list_ = absl::InfinitePast();
+};
+
+Membership::Membership(Options options)
+    : state_(std::make_unique<State>(std::move(options))) {}
+
+Membership::~Membership() = default;
+
+absl::Duration Membership::Step() { return state_->Step(); }
+
+void Membership::ReportTargetLeaving(const TargetId& target) {
+  state_->ReportTargetLeaving(target);
+}
+
+std::vector<Member> Membership::ZoneMembers() const {
+  return state_->ZoneMembers();
+}
+
+std::vector<Member> Membership::AllMembers() const {
+  return state_->AllMembers();
+}
+
+std::optional<Member> Membership::FindMember(const InstanceId& id) const {
+  return state_->Find(id);
+}
+
+bool Membership::TargetLeaving(const TargetId& target) const {
+  return state_->TargetLeaving(target);
+}
+
+std::vector<RolloutLine> Membership::Lines() const { return state_->Lines(); }
+
+void Membership::Expect(Revision revision) { state_->Expect(revision); }
+
+void Membership::OnPeerMessage(const InstanceId& sender,
+                               const PeerMessage& message) {
+  state_->Receive(sender, message);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/test/config_store_test.cc
@@ -0,0 +1,164 @@
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
+#include "standin/fakes/manual_clock.h"
+#include "standin/fakes/memory_table.h"
+#include "test/config_test_support.h"
+#include "wisteriareel/config_table_store.h"
+
+namespace wisteriareel {
+namespace {
+
+class ConfigStoreTest : public testing::Test {
+ protected:
+  std::optional<AcceptedOrder> Apply(const ChangeOrder& order) {
+    return store_.Apply(order, kTestTimeout, &reason_);
+  }
+
+  ManualClock clock_;
+  MemoryTable table_;
+  TableConfigStore store_{{.clock = &clock_, .table = &table_}};
+  LastReason reason_;
+};
+
+TEST_F(ConfigStoreTest, RaisesOneRevisionForEachOrder) {
+  const auto first = Apply(PutOrder("a", TestCustomer(1)));
+  const auto second = Apply(PutOrder("b", TestCustomer(2)));
+  ASSERT_TRUE(first && second) << reason_.detail();
+  EXPECT_EQ(first->revision, Revision(1));
+  EXPECT_EQ(second->revision, Revision(2));
+}
+
+TEST_F(ConfigStoreTest, TellsTheLoserOfARaceTheCurrentVersion) {
+  ASSERT_TRUE(Apply(PutOrder("a", TestCustomer(1), 0)));
+  EXPECT_FALSE(Apply(PutOrder("b", TestCustomer(1, 7), 0)));
+  EXPECT_EQ(reason_.reason(), Reason::kConflict);
+  EXPECT_NE(reason_.detail().find("at version 1"), std::string::npos)
+      << reason_.detail();
+}
+
+TEST_F(ConfigStoreTest, SettlesALostReplyByOrderId) {
+  table_.SetFaults({.lose_replies = 1});
+  const auto accepted = Apply(PutOrder("a", TestCustomer(1), 0));
+  ASSERT_TRUE(accepted) << reason_.detail();
+  EXPECT_EQ(*accepted, (AcceptedOrder{Revision(1), true}));
+  const auto again = Apply(PutOrder("a", TestCustomer(1), 0));
+  ASSERT_TRUE(again) << reason_.detail();
+  EXPECT_EQ(*again, (AcceptedOrder{Revision(1), true}));
+}
+
+TEST_F(ConfigStoreTest, RefusesAnOrderIdUsedForOtherChanges) {
+  ASSERT_TRUE(Apply(PutOrder("a", TestCustomer(1))));
+  EXPECT_FALSE(Apply(PutOrder("a", TestCustomer(2))));
+  EXPECT_EQ(reason_.reason(), Reason::kConflict);
+}
+
+TEST_F(ConfigStoreTest, CommitsCompanionRowsWithTheChange) {
+  ChangeOrder order = PutOrder("a", TestCustomer(1));
+  order.companion = {.conditions = {{{"t", "k"}, 0}},
+                     .writes = {{{"t", "k"}, "v"}}};
+  ASSERT_TRUE(Apply(order)) << reason_.detail();
+  LastReason reason;
+  EXPECT_EQ(table_.Read({{"t", "k"}}, kTestTimeout, &reason)->size(), 1u);
+  order.order = OrderId("b");
+  EXPECT_FALSE(Apply(order));
+  EXPECT_EQ(reason_.reason(), Reason::kConflict);
+  const auto entry =
+      store_.ReadEntry(order.changes[0].key, kTestTimeout, &reason);
+  EXPECT_EQ(entry->version, 1u);
+}
+
+TEST_F(ConfigStoreTest, RefusesValuesThatBreakTheirRules) {
+  EXPECT_FALSE(Apply(PutOrder("a", TestCustomer(1, 0))));
+  EXPECT_EQ(reason_.reason(), Reason::kMalformed);
+  EXPECT_FALSE(Apply(PutOrder("b", ApiKey{.hash = "short"})));
+  EXPECT_EQ(reason_.reason(), Reason::kMalformed);
+  Customer latin1 = TestCustomer(1);
+  latin1.display_name = "\xe9";
+  EXPECT_FALSE(Apply(PutOrder("c", latin1)));
+  EXPECT_EQ(reason_.reason(), Reason::kMalformed);
+  EXPECT_EQ(table_.commits(), 0u);
+}
+
+TEST_F(ConfigStoreTest, TrimsTheLogAndTheOrdersThatItNames) {
+  TableConfigStore store({.clock = &clock_, .table = &table_, .log_length = 3});
+  for (int i = 0; i < 10; ++i) {
+    ASSERT_TRUE(store.Apply(PutOrder(absl::StrCat("o", i), TestCustomer(i)),
+                            kTestTimeout, &reason_));
+  }
+  LastReason reason;
+  EXPECT_EQ(table_.Scan("config_log", "", 100, kTestTimeout, &reason)->size(),
+            3u);
+  EXPECT_EQ(table_.Scan("config_order", "", 100, kTestTimeout, &reason)->size(),
+            3u);
+}
+
+// I7: operators race each other through a table that loses requests and
+// replies. Whatever they are told must agree with what is in the table.
+RC_GTEST_PROP(ConfigStoreProperty, AnswersAgreeWithTheTable, ()) {
+  ManualClock clock;
+  MemoryTable table;
+  TableConfigStore store({.clock = &clock, .table = &table, .max_attempts = 3});
+  // Order id of each acceptance, and which orders were left in doubt.
+  std::map<std::string, Revision> accepted;
+  std::map<std::uint64_t, std::string> by_revision;
+  std::set<std::string> doubtful;
+  const auto steps = *rc::gen::inRange(5, 40);
+  for (int step = 0; step < steps; ++step) {
+    const int fault = *rc::gen::inRange(0, 6);
+    table.SetFaults(
+        {.outage = fault == 3,
+         .lose_replies = fault == 0 ? *rc::gen::inRange(1, 5) : 0,
+         .lose_requests = fault == 1 ? *rc::gen::inRange(1, 5) : 0});
+    const std::string id = absl::StrCat("o", *rc::gen::inRange(0, 12));
+    // The changes follow from the id, as in a repeated call.
+    const int customer = static_cast<int>(id.back() % 3);
+    const std::uint32_t weight = id.size() == 2 ? id[1] : id[2] + 100u;
+    std::optional<std::uint64_t> expected;
+    if (*rc::gen::arbitrary<bool>()) expected = *rc::gen::inRange(0, 6);
+    LastReason reason;
+    const auto answer =
+        store.Apply(PutOrder(id, TestCustomer(customer, weight), expected),
+                    kTestTimeout, &reason);
+    table.SetFaults({});
+    LastReason read_reason;
+    const auto row =
+        table.Read({{"config_order", id}}, kTestTimeout, &read_reason);
+    const bool in_force = !row->empty();
+    if (answer) {
+      RC_ASSERT(in_force);
+      const auto [it, first] = accepted.emplace(id, answer->revision);
+      RC_ASSERT(it->second == answer->revision);
+      const auto [at, unique] =
+          by_revision.emplace(answer->revision.value(), id);
+      RC_ASSERT(at->second == id);
+      continue;
+    }
+    // Without an acceptance it may be in force only if the caller was told
+    // that the reply was lost, or an earlier call had left it in doubt.
+    if (reason.reason() == Reason::kPlatformReplyLost) {
+      doubtful.insert(id);
+      continue;
+    }
+    RC_ASSERT(!in_force || doubtful.contains(id) || accepted.contains(id));
+    if (reason.reason() == Reason::kConflict) RC_ASSERT(!in_force);
+  }
+  // Each accepted order has its log row; revisions have no gaps.
+  LastReason reason;
+  const auto log = table.Scan("config_log", "", 1000, kTestTimeout, &reason);
+  for (std::size_t i = 0; i < log->size(); ++i) {
+    RC_ASSERT((*log)[i].key.key.ends_with(absl::StrCat(i + 1)));
+  }
+  for (const auto& [id, revision] : accepted) {
+    RC_ASSERT(revision.value() <= log->size());
+  }
+}
+
+}  // namespace
+}  // namespace wisteriareel
--- a/test/config_tests.cmake
+++ b/test/config_tests.cmake
@@ -0,0 +1,3 @@
+wisteriareel_test(config_store_test LIBRARIES wisteriareel_config rapidcheck)
+wisteriareel_test(config_follower_test
+  LIBRARIES wisteriareel_membership wisteriareel_config rapidcheck)
--- /dev/null
+++ b/test/control_fleet.h
@@ -0,0 +1,195 @@
+#ifndef WISTERIAREEL_TEST_CONTROL_FLEET_H_
+#define WISTERIAREEL_TEST_CONTROL_FLEET_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+#include "standin/fakes/fake_peer_network.h"
+#include "standin/fakes/manual_clock.h"
+#include "standin/fakes/memory_instance_list.h"
+#include "standin/fakes/memory_table.h"
+#include "wisteriareel/config_follower.h"
+#include "wisteriareel/config_published.h"
+#include "wisteriareel/config_table_store.h"
+#include "wisteriareel/membership.h"
+#include "wisteriareel/peer_dispatcher.h"
+
+namespace wisteriareel {
+
+// One instance's way to the shared table, which can be cut on its own.
+// Thread-safe.
+class TableLink final : public TableService {
+ public:
+  explicit TableLink(TableService* table) : table_(table) {}
+
+  void SetUp(bool up) { up_ = up; }
+  std::uint64_t rows_read() const { return rows_read_; }
+
+  CommitOutcome Commit(const Transaction& transaction,
+                       absl::Duration timeout) override {
+    if (!up_) return CommitOutcome::kRejected;
+    return table_->Commit(transaction, timeout);
+  }
+  std::optional<std::vector<Row>> Read(const std::vector<RowKey>& keys,
+                                       absl::Duration timeout,
+                                       LastReason* reason) override {
+    if (!Check(reason)) return std::nullopt;
+    rows_read_ += keys.size();
+    return table_->Read(keys, timeout, reason);
+  }
+  std::optional<std::vector<Row>> Scan(const std::string& table,
+                                       const std::string& after, int limit,
+                                       absl::Duration timeout,
+                                       LastReason* reason) override {
+    if (!Check(reason)) return std::nullopt;
+    auto rows = table_->Scan(table, after, limit, timeout, reason);
+    if (rows) rows_read_ += rows->size();
+    return rows;
+  }
+
+ private:
+  bool Check(LastReason* reason) const {
+    if (up_) return true;
+    reason->Set(Reason::kPlatformUnavailable, "link cut");
+    return false;
+  }
+
+  TableService* const table_;
+  std::atomic<bool> up_ = true;
+  std::atomic<std::uint64_t> rows_read_ = 0;
+};
+
+// The control part of one instance.
+struct ControlInstance {
+  ControlInstance(const ListedInstance& at, Clock* clock, TableService* table,
+                  InstanceList* list, FakePeerNetwork* network,
+                  RandomSource* random)
+      : id(at.id),
+        zone(at.zone),
+        link(table),
+        membership({.self = id,
+                    .region = at.region,
+                    .zone = zone,
+                    .endpoint = at.endpoint,
+                    .clock = clock,
+                    .list = list,
+                    .transport = network->From(id),
+                    .config = &config,
+                    .random = random}),
+        follower({.self = id,
+                  .zone = zone,
+                  .clock = clock,
+                  .table = &link,
+                  .config = &config,
+                  .membership = &membership,
+                  .transport = network->From(id),
+                  .random = random}),
+        store({.clock = clock, .table = &link, .rollout = &membership}) {
+    for (const auto kind :
+         {PeerMessageKind::kHeartbeat, PeerMessageKind::kZoneDigest,
+          PeerMessageKind::kTargetState}) {
+      dispatcher.Register(kind, &membership);
+    }
+    for (const auto kind :
+         {PeerMessageKind::kRevision, PeerMessageKind::kConfigPull,
+          PeerMessageKind::kConfigDeltas}) {
+      dispatcher.Register(kind, &follower);
+    }
+    network->Attach(id, &dispatcher);
+  }
+
+  Revision revision() const { return config.Snapshot()->revision(); }
+
+  const InstanceId id;
+  const ZoneId zone;
+  TableLink link;
+  PublishedConfig config;
+  Membership membership;
+  ConfigFollower follower;
+  TableConfigStore store;
+  PeerDispatcher dispatcher;
+};
+
+// Several instances around one table, one list and one network, stepped by
+// hand on one clock.
+class ControlFleet {
+ public:
+  static constexpr absl::Duration kTick = absl::Milliseconds(250);
+
+  ControlFleet(int zones, int instances_per_zone, std::uint64_t seed = 1)
+      : random_(MakeSeededRandom(seed)) {
+    for (int z = 0; z < zones; ++z) {
+      for (int i = 0; i < instances_per_zone; ++i) {
+        const std::string id = absl::StrCat("instance-", z, "-", i);
+        listed_.push_back({.id = id,
+                           .region = RegionId("region"),
+                           .zone = ZoneId(absl::StrCat("zone-", z)),
+                           .endpoint = {"10.0.0.1", 7000}});
+      }
+    }
+    list.Set(listed_);
+    for (const ListedInstance& line : listed_) {
+      instances.push_back(Make(line));
+    }
+  }
+
+  // Replaces an instance by one with empty memory.
+  void Restart(std::size_t i) {
+    network.Attach(instances[i]->id, nullptr);
+    instances[i] = nullptr;
+    instances[i] = Make(listed_[i]);
+  }
+
+  // Takes an instance away.
+  void Kill(std::size_t i) {
+    network.Attach(instances[i]->id, nullptr);
+    instances[i] = nullptr;
+  }
+
+  // Steps all instances once; delivers all messages at once unless
+  // `shuffled`, which drops, repeats and reorders them.
+  void Tick(bool shuffled = false) {
+    for (const auto& instance : instances) {
+      if (instance == nullptr) continue;
+      instance->membership.Step();
+      instance->follower.Step();
+    }
+    if (!shuffled) network.DeliverAll();
+    for (std::size_t n = 40 * instances.size(); shuffled && n > 0; --n) {
+      if (!network.DeliverAny(random_.get())) break;
+    }
+    clock.Advance(kTick);
+  }
+
+  void Run(absl::Duration duration) {
+    const absl::Time end = clock.Now() + duration;
+    while (clock.Now() < end) Tick();
+  }
+
+  const std::vector<ListedInstance>& listed() const { return listed_; }
+
+  ManualClock clock;
+  MemoryTable table;
+  MemoryInstanceList list;
+  FakePeerNetwork network;
+  std::vector<std::unique_ptr<ControlInstance>> instances;
+
+ private:
+  std::unique_ptr<ControlInstance> Make(const ListedInstance& line) {
+    return std::make_unique<ControlInstance>(line, &clock, &table, &list,
+                                             &network, random_.get());
+  }
+
+  std::vector<ListedInstance> listed_;
+  std::unique_ptr<RandomSource> random_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_TEST_CONTROL_FLEET_H_
--- /dev/null
+++ b/test/membership_test.cc
@@ -0,0 +1,137 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
+#include "test/config_test_support.h"
+#include "test/control_fleet.h"
+
+namespace wisteriareel {
+namespace {
+
+class MembershipTest : public testing::Test {
+ protected:
+  MembershipTest() { fleet_.Run(absl::Seconds(4)); }
+
+  // Returns what instance `at` believes of instance `of`.
+  MemberState Belief(std::size_t at, std::size_t of) {
+    const auto member = fleet_.instances[at]->membership.FindMember(
+        InstanceId(fleet_.listed()[of].id));
+    return member ? member->state : MemberState::kDead;
+  }
+
+  // Cuts the links between the two instances in both directions.
+  void CutPair(std::size_t a, std::size_t b) {
+    const InstanceId x(fleet_.listed()[a].id);
+    const InstanceId y(fleet_.listed()[b].id);
+    fleet_.network.SetLinks(
+        [x, y](const InstanceId& from, const InstanceId& to) {
+          return !(from == x && to == y) && !(from == y && to == x);
+        });
+  }
+
+  ControlFleet fleet_{2, 4};
+};
+
+TEST_F(MembershipTest, HearsAllMembersOfItsZone) {
+  for (const Member& member : fleet_.instances[0]->membership.ZoneMembers()) {
+    EXPECT_EQ(member.state, MemberState::kAlive) << member.id.value();
+    EXPECT_EQ(member.zone, ZoneId("zone-0"));
+  }
+  EXPECT_EQ(fleet_.instances[0]->membership.ZoneMembers().size(), 4u);
+}
+
+TEST_F(MembershipTest, SuspectsASilentMemberBeforeItIsDead) {
+  fleet_.Kill(3);
+  fleet_.Run(absl::Seconds(4));
+  EXPECT_EQ(Belief(0, 3), MemberState::kSuspect);
+  fleet_.Run(absl::Seconds(6));
+  EXPECT_EQ(Belief(0, 3), MemberState::kDead);
+}
+
+TEST_F(MembershipTest, KeepsASilentMemberThatOthersVouchFor) {
+  CutPair(0, 3);
+  fleet_.Run(absl::Seconds(30));
+  EXPECT_EQ(Belief(0, 3), MemberState::kSuspect);
+  EXPECT_EQ(Belief(1, 3), MemberState::kAlive);
+}
+
+TEST_F(MembershipTest, TakesADeadMemberBackAtAHigherIncarnationOnly) {
+  const InstanceId paused(fleet_.listed()[3].id);
+  const auto before = fleet_.instances[0]->membership.FindMember(paused);
+  fleet_.network.SetLinks(
+      [paused](const InstanceId& from, const InstanceId& to) {
+        return from != paused && to != paused;
+      });
+  fleet_.Run(absl::Seconds(15));
+  EXPECT_EQ(Belief(0, 3), MemberState::kDead);
+  fleet_.network.SetLinks(nullptr);
+  fleet_.Run(absl::Seconds(15));
+  const auto after = fleet_.instances[0]->membership.FindMember(paused);
+  EXPECT_EQ(after->state, MemberState::kAlive);
+  EXPECT_GT(after->incarnation, before->incarnation);
+}
+
+TEST_F(MembershipTest, BlamesNobodyForItsOwnPause) {
+  fleet_.clock.Advance(absl::Minutes(5));
+  fleet_.instances[0]->membership.Step();
+  for (std::size_t i = 1; i < 4; ++i) {
+    EXPECT_EQ(Belief(0, i), MemberState::kAlive) << i;
+  }
+}
+
+TEST_F(MembershipTest, TellsTheZoneOfALeavingTargetWithinThreeSeconds) {
+  const TargetId target("target-7");
+  fleet_.instances[2]->membership.ReportTargetLeaving(target);
+  // The first two copies of the note are lost.
+  fleet_.network.SetLinks(
+      [](const InstanceId&, const InstanceId&) { return false; });
+  fleet_.Run(absl::Seconds(1));
+  fleet_.network.SetLinks(nullptr);
+  fleet_.Run(absl::Seconds(2));
+  for (std::size_t i = 0; i < 4; ++i) {
+    EXPECT_TRUE(fleet_.instances[i]->membership.TargetLeaving(target)) << i;
+  }
+  fleet_.Run(absl::Seconds(62));
+  EXPECT_FALSE(fleet_.instances[0]->membership.TargetLeaving(target));
+}
+
+TEST_F(MembershipTest, NamesTheInstancesThatLagBehindARollout) {
+  LastReason reason;
+  const auto accepted = fleet_.instances[0]->store.Apply(
+      PutOrder("a", TestCustomer(1)), kTestTimeout, &reason);
+  const InstanceId cut(fleet_.listed()[6].id);
+  fleet_.instances[6]->link.SetUp(false);
+  fleet_.network.SetLinks([cut](const InstanceId& from, const InstanceId& to) {
+    return from != cut && to != cut;
+  });
+  fleet_.instances[0]->membership.Expect(accepted->revision);
+  fleet_.Run(absl::Seconds(2));
+  for (const auto& instance : fleet_.instances) {
+    const bool in_force = instance->revision() == accepted->revision;
+    EXPECT_EQ(in_force, instance->id != cut) << instance->id.value();
+  }
+  fleet_.Run(absl::Seconds(1));
+  const auto lagging = fleet_.instances[0]->store.AwaitRollout(
+      accepted->revision, absl::ZeroDuration());
+  ASSERT_EQ(lagging.size(), 1u)
+      << lagging[0].instance.value() << " at " << lagging[0].revision.value()
+      << ", " << lagging.back().instance.value() << " at "
+      << lagging.back().revision.value() << " of "
+      << accepted->revision.value();
+  EXPECT_EQ(lagging[0].instance, cut);
+  EXPECT_EQ(lagging[0].zone, ZoneId("zone-1"));
+  fleet_.network.SetLinks(nullptr);
+  fleet_.instances[6]->link.SetUp(true);
+  fleet_.instances[0]->membership.Expect(accepted->revision);
+  fleet_.Run(absl::Seconds(3));
+  EXPECT_TRUE(fleet_.instances[0]
+                  ->store.AwaitRollout(accepted->revision, absl::ZeroDuration())
+                  .empty());
+}
+
+}  // namespace
+}  // namespace wisteriareel
--- a/test/membership_tests.cmake
+++ b/test/membership_tests.cmake
@@ -0,0 +1,2 @@
+wisteriareel_test(membership_test
+  LIBRARIES wisteriareel_membership wisteriareel_config rapidcheck)
