--- /dev/null
+++ b/src/request/billing.cc
@@ -0,0 +1,33 @@
+#include "src/request/billing.h"
+
+#include <algorithm>
+
+namespace wisteriareel {
+namespace {
+
+constexpr int kFirstErrorStatus = 400;
+constexpr int kFirstServerError = 500;
+
+Tokens PriceOfChat(const EndedRequest& request) {
+  if (request.usage) return request.usage->prompt + request.usage->output;
+  const Tokens events(static_cast<std::int64_t>(request.output_events));
+  if (!request.whole) {
+    const bool left = request.reason == Reason::kCallerGone;
+    return left ? request.prompt_bound + events : events;
+  }
+  if (request.status >= kFirstErrorStatus) return Tokens();
+  return request.streamed ? request.prompt_bound + events : request.worst_case;
+}
+
+}  // namespace
+
+Tokens PriceOf(const EndedRequest& request) {
+  if (request.verdict == Verdict::kNotRun) return Tokens();
+  if (request.kind == CallKind::kChat) {
+    return std::min(PriceOfChat(request), request.worst_case);
+  }
+  const bool served = request.whole && request.status < kFirstServerError;
+  return served ? request.worst_case : Tokens();
+}
+
+}  // namespace wisteriareel
--- a/src/request/claim_keeper.h
+++ b/src/request/claim_keeper.h
@@ -36,7 +36,9 @@
 // The confirmed right to run one request, held by this instance alone.
 struct Claim {
   ClaimRequest request;
-  // By the holder's clock. Nothing is dispatched under the claim afterwards.
+  // By the holder's clock.
+  absl::Time claimed;
+  // Nothing is dispatched under the claim afterwards.
   absl::Time dispatch_until;
   // A write of the claim's row whose reply was lost may take effect until
   // then.
@@ -45,15 +47,16 @@
   friend bool operator==(const Claim&, const Claim&) = default;
 };
 
-// The answer to a ClaimRequest: a claim, or what stands in its way.
+// The answer to a ClaimRequest: a claim, or what stands in its way. Without
+// either, `verdict` says whether the request was run under its key, by this
+// call or an earlier one; kNotRun only if the platform was read.
 struct ClaimReply {
   std::optional<Claim> claim;
   // Set if the request has run and its answer was kept.
   std::optional<KeptAnswer> kept;
   // The request that holds or held the claim.
   RequestId earlier;
-  // Whether this call, or an earlier one under the same key, may have run.
-  Verdict verdict = Verdict::kNotRun;
+  Verdict verdict = Verdict::kMayHaveRun;
   Reason reason = Reason::kNone;
 };
 
@@ -66,6 +69,11 @@
   virtual ClaimReply Acquire(const ClaimRequest& request,
                              absl::Duration timeout) = 0;
 
+  // Looks up what is known of the request, without claiming it, for calls
+  // that are refused before they are claimed.
+  virtual ClaimReply LookUp(const ClaimRequest& request,
+                            absl::Duration timeout) = 0;
+
   // Gives the claim back: the caller knows that it did not run. Repeated in
   // the background until it is confirmed.
   virtual void Release(const Claim& claim) = 0;
--- a/src/request/request_run.cc
+++ b/src/request/request_run.cc
@@ -5,24 +5,14 @@
 
 #include "absl/strings/str_cat.h"
 #include "src/request/chat_codec.h"
-#include "src/request/content_hash.h"
 
 namespace wisteriareel {
 namespace {
 
 constexpr int kFirstServerError = 500;
-constexpr int kFirstErrorStatus = 400;
 // What a caller is told to wait after a refusal that should soon pass.
 constexpr absl::Duration kShortRetryAfter = absl::Seconds(1);
 
-std::uint64_t HashContent(const CallerRequest& request) {
-  return ContentHash()
-      .Add(request.method)
-      .Add(request.path)
-      .Add(request.body)
-      .value();
-}
-
 }  // namespace
 
 RequestRun::RequestRun(const RequestServiceOptions& options,
@@ -44,12 +34,21 @@
   if (LookUp() && Prepare() && Admit() && AcquireClaim() && Reserve()) {
     Dispatch();
   }
+  ConsultEarlierCalls();
   Settle();
   SettleClaim();
   if (admission_) options_.admission->Leave(*admission_);
   return result_;
 }
 
+CallResult RequestRun::Refuse(Reason reason, absl::Duration retry_after) {
+  result_.retry_after = retry_after;
+  Fail(reason);
+  ConsultEarlierCalls();
+  Settle();
+  return result_;
+}
+
 bool RequestRun::LookUp() {
   if (config_->revision() == Revision()) {
     result_.retry_after = kShortRetryAfter;
@@ -124,45 +123,6 @@
   return true;
 }
 
-bool RequestRun::NeedsClaim() const {
-  return !idempotent_ && !request_.idempotency_key.empty();
-}
-
-bool RequestRun::AcquireClaim() {
-  if (!NeedsClaim()) return true;
-  if (options_.claims == nullptr) return Fail(Reason::kClaimUnconfirmed);
-  const absl::Time begun = options_.clock->Now();
-  const absl::Duration timeout =
-      std::min(options_.timeouts.claim, deadline_ - begun);
-  const ClaimReply reply = options_.claims->Acquire(
-      ClaimRequest{.customer = request_.customer,
-                   .key = request_.idempotency_key,
-                   .request = request_.id,
-                   .content_hash = HashContent(request_)},
-      timeout);
-  options_.counters->Record(Timing::kClaimCommit,
-                            options_.clock->Now() - begun);
-  claim_ = reply.claim;
-  if (claim_) return true;
-  if (reply.kept) return GiveKeptAnswer(reply);
-  result_.verdict = reply.verdict;
-  result_.retry_after = kShortRetryAfter;
-  return Fail(reply.reason);
-}
-
-// Answers a retry from what its first run gave. Returns false: nothing is
-// left to run.
-bool RequestRun::GiveKeptAnswer(const ClaimReply& reply) {
-  result_.verdict = Verdict::kRan;
-  result_.answered_request = reply.earlier;
-  const bool given =
-      writer_->WriteHead(reply.kept->status, reply.kept->content_type) &&
-      writer_->WriteData(reply.kept->body) && writer_->Finish();
-  if (!given) return Fail(Reason::kCallerGone);
-  options_.counters->Add(Counter::kAnswersWhole, 1);
-  return false;
-}
-
 bool RequestRun::Reserve() {
   if (worst_case_ == Tokens()) return true;
   LastReason reason;
@@ -302,7 +262,7 @@
 void RequestRun::Deliver() {
   if (claim_) {
     const std::optional<KeptAnswer> kept = relay_->TakeKept();
-    options_.claims->Complete(*claim_, kept, options_.timeouts.claim);
+    options_.claims->Complete(*claim_, kept, options_.timeouts.keep_outcome);
     kept_ = true;
   }
   if (!relay_->Finish()) {
@@ -329,78 +289,6 @@
   Fail(reason, result_.detail);
 }
 
-void RequestRun::Settle() {
-  const RequestRecord record = MakeRecord();
-  if (record.billed > Tokens()) {
-    options_.counters->Add(Counter::kTokensBilled,
-                           static_cast<std::uint64_t>(record.billed.value()));
-  }
-  options_.counters->Record(Timing::kRequest, record.finished - record.started);
-  if (reservation_ && result_.verdict != Verdict::kNotRun) {
-    options_.budget->Settle(*reservation_, record);
-    return;
-  }
-  if (reservation_) options_.budget->Release(*reservation_);
-  options_.journal->Append(record);
-}
-
-void RequestRun::SettleClaim() {
-  if (!claim_ || kept_) return;
-  if (result_.verdict == Verdict::kNotRun) {
-    options_.claims->Release(*claim_);
-    return;
-  }
-  options_.claims->MarkInDoubt(*claim_);
-}
-
-RequestRecord RequestRun::MakeRecord() const {
-  RequestRecord record{.request = request_.id,
-                       .customer = request_.customer,
-                       .budget = request_.budget,
-                       .model = request_.model,
-                       .instance = options_.instance,
-                       .zone = options_.zone,
-                       .verdict = result_.verdict,
-                       .reason = result_.reason,
-                       .billed = BilledTokens(),
-                       .attempts = attempts_,
-                       .started = started_,
-                       .finished = options_.clock->Now()};
-  if (pool_ != nullptr) record.pool = pool_->id;
-  if (target_) record.target = target_->id;
-  if (relay_ && relay_->usage()) {
-    record.prompt_tokens = relay_->usage()->prompt;
-    record.output_tokens = relay_->usage()->output;
-  } else if (relay_) {
-    record.output_tokens =
-        Tokens(static_cast<std::int64_t>(relay_->output_events()));
-  }
-  return record;
-}
-
-// A whole answer costs what the engine counted; a broken one only the events
-// that its caller has, and the prompt too if it was the caller who left.
-Tokens RequestRun::BilledTokens() const {
-  if (!reservation_ || result_.verdict == Verdict::kNotRun) return Tokens();
-  if (request_.kind == CallKind::kService) {
-    const bool served = whole_ && relay_->status() < kFirstServerError;
-    return served ? worst_case_ : Tokens();
-  }
-  const std::optional<ChatUsage>& usage = relay_->usage();
-  const Tokens events(static_cast<std::int64_t>(relay_->output_events()));
-  Tokens cost = usage ? usage->prompt + usage->output : events;
-  if (whole_ && relay_->status() >= kFirstErrorStatus && !usage) {
-    return Tokens();
-  }
-  if (whole_ && !usage) {
-    cost = request_.streamed ? request_.prompt_bound + events : worst_case_;
-  }
-  if (result_.reason == Reason::kCallerGone && !whole_ && !usage) {
-    cost = request_.prompt_bound + events;
-  }
-  return std::min(cost, worst_case_);
-}
-
 bool RequestRun::Fail(Reason reason, std::string detail) {
   result_.reason = reason;
   result_.detail = std::move(detail);
--- a/src/request/request_run.h
+++ b/src/request/request_run.h
@@ -26,6 +26,9 @@
   // Returns how the request ended. Its record is in the journal.
   CallResult Run();
 
+  // Refuses the request instead of running it.
+  CallResult Refuse(Reason reason, absl::Duration retry_after);
+
  private:
   // Steps of Run; each returns false after having set the result.
   bool LookUp();
@@ -37,6 +40,8 @@
 
   bool LookUpPool();
   bool NeedsClaim() const;
+  ClaimRequest MakeClaimRequest() const;
+  void ConsultEarlierCalls();
   bool GiveKeptAnswer(const ClaimReply& reply);
   int PoolCapacity() const;
   // One attempt at `target_`; returns what follows it.
@@ -54,7 +59,7 @@
   void Settle();
   void SettleClaim();
   RequestRecord MakeRecord() const;
-  Tokens BilledTokens() const;
+  Tokens Price() const;
   bool Fail(Reason reason, std::string detail = {});
 
   const RequestServiceOptions& options_;
@@ -87,6 +92,7 @@
   bool resuming_ = false;
   bool whole_ = false;
   bool kept_ = false;
+  bool claim_asked_ = false;
   CallResult result_;
 };
 
--- /dev/null
+++ b/src/request/request_run_claim.cc
@@ -0,0 +1,89 @@
+#include <algorithm>
+
+#include "src/request/content_hash.h"
+#include "src/request/request_run.h"
+
+namespace wisteriareel {
+namespace {
+
+// What a caller is told to wait while another call holds its key.
+constexpr absl::Duration kClaimRetryAfter = absl::Seconds(1);
+
+std::uint64_t HashContent(const CallerRequest& request) {
+  return ContentHash()
+      .Add(request.method)
+      .Add(request.path)
+      .Add(request.body)
+      .value();
+}
+
+}  // namespace
+
+bool RequestRun::NeedsClaim() const {
+  return !idempotent_ && !request_.idempotency_key.empty();
+}
+
+bool RequestRun::AcquireClaim() {
+  if (!NeedsClaim()) return true;
+  if (options_.claims == nullptr) return Fail(Reason::kClaimUnconfirmed);
+  const absl::Time begun = options_.clock->Now();
+  const absl::Duration timeout =
+      std::min(options_.timeouts.claim, deadline_ - begun);
+  claim_asked_ = true;
+  const ClaimReply reply =
+      options_.claims->Acquire(MakeClaimRequest(), timeout);
+  options_.counters->Record(Timing::kClaimCommit,
+                            options_.clock->Now() - begun);
+  claim_ = reply.claim;
+  if (claim_) return true;
+  if (reply.kept) return GiveKeptAnswer(reply);
+  result_.verdict = reply.verdict;
+  result_.retry_after = kClaimRetryAfter;
+  return Fail(reply.reason);
+}
+
+ClaimRequest RequestRun::MakeClaimRequest() const {
+  return {.customer = request_.customer,
+          .key = request_.idempotency_key,
+          .request = request_.id,
+          .content_hash = HashContent(request_)};
+}
+
+// Answers a retry from what its first run gave. Returns false: nothing is
+// left to run.
+bool RequestRun::GiveKeptAnswer(const ClaimReply& reply) {
+  result_.verdict = Verdict::kRan;
+  result_.reason = Reason::kNone;
+  result_.retry_after = absl::ZeroDuration();
+  result_.answered_request = reply.earlier;
+  const bool given =
+      writer_->WriteHead(reply.kept->status, reply.kept->content_type) &&
+      writer_->WriteData(reply.kept->body) && writer_->Finish();
+  if (!given) return Fail(Reason::kCallerGone);
+  options_.counters->Add(Counter::kAnswersWhole, 1);
+  return false;
+}
+
+// A call that was refused before it was claimed did not run, but an earlier
+// one under the same key may have: only the claim's row proves that none did.
+void RequestRun::ConsultEarlierCalls() {
+  const bool refused = result_.verdict == Verdict::kNotRun && !claim_asked_;
+  if (!refused || !NeedsClaim() || options_.claims == nullptr) return;
+  const ClaimReply reply =
+      options_.claims->LookUp(MakeClaimRequest(), options_.timeouts.claim);
+  result_.verdict = reply.verdict;
+  const bool entitled = result_.reason != Reason::kForbidden &&
+                        result_.reason != Reason::kCustomerSuspended;
+  if (reply.kept && entitled) GiveKeptAnswer(reply);
+}
+
+void RequestRun::SettleClaim() {
+  if (!claim_ || kept_) return;
+  if (result_.verdict == Verdict::kNotRun) {
+    options_.claims->Release(*claim_);
+    return;
+  }
+  options_.claims->MarkInDoubt(*claim_);
+}
+
+}  // namespace wisteriareel
--- a/src/request/request_service.cc
+++ b/src/request/request_service.cc
@@ -24,10 +24,10 @@
 CallResult RequestService::Handle(const CallerRequest& request,
                                   AnswerWriter* writer) {
   options_.counters->Add(Counter::kRequests, 1);
-  if (!Begin()) return RefuseDraining(request);
-  CallResult result = RequestRun(options_, policy_, &retry_budget_, Instances(),
-                                 request, writer)
-                          .Run();
+  RequestRun run(options_, policy_, &retry_budget_, Instances(), request,
+                 writer);
+  if (!Begin()) return run.Refuse(Reason::kDraining, kDrainRetryAfter);
+  CallResult result = run.Run();
   End();
   return result;
 }
@@ -44,23 +44,6 @@
   if (--in_flight_ == 0) ended_.notify_all();
 }
 
-CallResult RequestService::RefuseDraining(const CallerRequest& request) {
-  options_.counters->Refused(Reason::kDraining);
-  const absl::Time now = options_.clock->Now();
-  options_.journal->Append(RequestRecord{.request = request.id,
-                                         .customer = request.customer,
-                                         .budget = request.budget,
-                                         .model = request.model,
-                                         .instance = options_.instance,
-                                         .zone = options_.zone,
-                                         .reason = Reason::kDraining,
-                                         .started = now,
-                                         .finished = now});
-  return CallResult{.reason = Reason::kDraining,
-                    .retry_after = kDrainRetryAfter,
-                    .answered_request = request.id};
-}
-
 // Counting members copies their list, so the count is kept for a moment.
 int RequestService::Instances() {
   if (options_.membership == nullptr) return 1;
--- a/src/request/request_service.h
+++ b/src/request/request_service.h
@@ -29,8 +29,10 @@
   // Longest life of a request whose caller set no deadline.
   absl::Duration chat = absl::Minutes(10);
   absl::Duration service = absl::Seconds(60);
-  // Longest wait for a claim or for its outcome to be kept.
+  // Longest wait for a claim.
   absl::Duration claim = absl::Seconds(3);
+  // Longest wait, before the answer is given, for the outcome to be kept.
+  absl::Duration keep_outcome = absl::Seconds(1);
   // Longest wait for a grant that covers a reservation.
   absl::Duration reserve = absl::Seconds(2);
   absl::Duration connect = absl::Seconds(1);
@@ -97,7 +99,6 @@
  private:
   bool Begin();
   void End();
-  CallResult RefuseDraining(const CallerRequest& request);
   // Returns how many live instances share the pools.
   int Instances();
 
--- a/standin/fakes/fake_target_client.cc
+++ b/standin/fakes/fake_target_client.cc
@@ -30,14 +30,38 @@
 
 void FakeTargetClient::OnSend(std::function<void(const TargetCall&)> hook) {
   std::lock_guard<std::mutex> lock(mutex_);
-  hook_ = std::move(hook);
+  send_hook_ = std::move(hook);
+}
+
+void FakeTargetClient::OnSent(std::function<void(const TargetCall&)> hook) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  sent_hook_ = std::move(hook);
 }
 
 TargetOutcome FakeTargetClient::Send(const TargetCall& call, TargetSink* sink,
                                      const std::atomic<bool>& /*cancelled*/) {
   const AttemptFault fault = NextFault();
-  if (hook_) hook_(call);
-  DeliverLateParts();
+  RunHook(&FakeTargetClient::send_hook_, call);
+  DeliverLateParts(call.request);
+  const TargetOutcome outcome = SendFaulty(call, fault, sink);
+  RunHook(&FakeTargetClient::sent_hook_, call);
+  return outcome;
+}
+
+// Copies the hook first: it may replace itself.
+void FakeTargetClient::RunHook(Hook FakeTargetClient::*member,
+                               const TargetCall& call) {
+  Hook hook;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    hook = this->*member;
+  }
+  if (hook) hook(call);
+}
+
+TargetOutcome FakeTargetClient::SendFaulty(const TargetCall& call,
+                                           AttemptFault fault,
+                                           TargetSink* sink) {
   switch (fault) {
     case AttemptFault::kUnreachable:
       return Ended(Verdict::kNotRun, Reason::kTargetUnreachable);
@@ -136,13 +160,15 @@
   return it != runs_.end() && it->second == call.target;
 }
 
-void FakeTargetClient::DeliverLateParts() {
+// A sink lives as long as its request.
+void FakeTargetClient::DeliverLateParts(const RequestId& request) {
   std::vector<LateParts> late;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     late.swap(late_);
   }
   for (const LateParts& parts : late) {
+    if (parts.call.request != request) continue;
     for (int i = 0; i < options_.parts; ++i) {
       SendPart(parts.call, i, parts.sink);
     }
--- a/standin/fakes/fake_target_client.h
+++ b/standin/fakes/fake_target_client.h
@@ -46,13 +46,17 @@
 // request, so that a foreign or short answer shows. Thread-safe.
 class FakeTargetClient final : public TargetClient {
  public:
+  using Hook = std::function<void(const TargetCall&)>;
+
   FakeTargetClient(const FakeTargetOptions& options, SteppingClock* clock)
       : options_(options), clock_(clock) {}
 
   // The faults of the next attempts; further ones have none.
   void Script(std::vector<AttemptFault> faults);
-  // Called at the begin of each Send, outside of locks.
-  void OnSend(std::function<void(const TargetCall&)> hook);
+  // Called at the begin of each Send, before the target sees the call, and
+  // at its end, when the target has ended its work. Outside of locks.
+  void OnSend(Hook hook);
+  void OnSent(Hook hook);
 
   TargetOutcome Send(const TargetCall& call, TargetSink* sink,
                      const std::atomic<bool>& cancelled) override;
@@ -75,10 +79,13 @@
     TargetCall call;
   };
 
+  void RunHook(Hook FakeTargetClient::*member, const TargetCall& call);
   AttemptFault NextFault();
   void Execute(const TargetCall& call);
   bool Knows(const TargetCall& call) const;
-  void DeliverLateParts();
+  void DeliverLateParts(const RequestId& request);
+  TargetOutcome SendFaulty(const TargetCall& call, AttemptFault fault,
+                           TargetSink* sink);
   TargetOutcome SendParts(const TargetCall& call, AttemptFault fault,
                           TargetSink* sink);
   bool SendPart(const TargetCall& call, int index, TargetSink* sink) const;
@@ -91,7 +98,8 @@
 
   mutable std::mutex mutex_;
   std::deque<AttemptFault> script_;
-  std::function<void(const TargetCall&)> hook_;
+  Hook send_hook_;
+  Hook sent_hook_;
   std::map<RequestId, TargetId> runs_;
   std::map<IdempotencyKey, int> by_key_;
   std::map<RequestId, int> by_request_;
--- /dev/null
+++ b/standin/fakes/late_table.h
@@ -0,0 +1,88 @@
+#ifndef WISTERIAREEL_STANDIN_FAKES_LATE_TABLE_H_
+#define WISTERIAREEL_STANDIN_FAKES_LATE_TABLE_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "standin/fakes/memory_table.h"
+#include "standin/fakes/stepping_clock.h"
+#include "wisteriareel/table_service.h"
+
+namespace wisteriareel {
+
+// A MemoryTable whose transactions can take effect after their reply was
+// given up, and whose callers can be paused by a commit. For one thread.
+class LateTable final : public TableService {
+ public:
+  explicit LateTable(SteppingClock* clock) : clock_(clock) {}
+
+  MemoryTable& memory() { return memory_; }
+
+  // The next commit reports kUnknown and takes effect after `calls` further
+  // calls of the table, unless its deadline has passed by then.
+  void DelayNextCommit(int calls) { delay_calls_ = calls; }
+
+  // The caller of the next commit is paused for `pause` after it.
+  void PauseAfterNextCommit(absl::Duration pause) { pause_ = pause; }
+
+  CommitOutcome Commit(const Transaction& transaction,
+                       absl::Duration timeout) override {
+    DeliverDue();
+    if (delay_calls_ > 0) {
+      late_.push_back({transaction, delay_calls_, clock_->Now() + timeout});
+      delay_calls_ = 0;
+      return CommitOutcome::kUnknown;
+    }
+    const CommitOutcome outcome = memory_.Commit(transaction, timeout);
+    clock_->Advance(pause_);
+    pause_ = absl::ZeroDuration();
+    return outcome;
+  }
+
+  std::optional<std::vector<Row>> Read(const std::vector<RowKey>& keys,
+                                       absl::Duration timeout,
+                                       LastReason* reason) override {
+    DeliverDue();
+    return memory_.Read(keys, timeout, reason);
+  }
+
+  std::optional<std::vector<Row>> Scan(const std::string& table,
+                                       const std::string& after, int limit,
+                                       absl::Duration timeout,
+                                       LastReason* reason) override {
+    DeliverDue();
+    return memory_.Scan(table, after, limit, timeout, reason);
+  }
+
+ private:
+  struct Late {
+    Transaction transaction;
+    int calls_left = 0;
+    absl::Time deadline;
+  };
+
+  void DeliverDue() {
+    std::vector<Late> left;
+    for (Late& late : late_) {
+      if (--late.calls_left > 0) {
+        left.push_back(late);
+        continue;
+      }
+      if (clock_->Now() >= late.deadline) continue;
+      memory_.Commit(late.transaction, absl::ZeroDuration());
+    }
+    late_.swap(left);
+  }
+
+  SteppingClock* const clock_;
+  MemoryTable memory_;
+  std::vector<Late> late_;
+  int delay_calls_ = 0;
+  absl::Duration pause_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_STANDIN_FAKES_LATE_TABLE_H_
--- /dev/null
+++ b/test/request_stream_test.cc
@@ -0,0 +1,162 @@
+#include <string>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
+#include "src/request/answer_relay.h"
+#include "test/request_fleet.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr std::int64_t kPromptTokens = 10;
+constexpr std::int64_t kParts = 8;
+
+// I5 and I2: makes one call under the faults and checks what its caller got,
+// what was billed and how often it ran. Returns what is wrong.
+std::string WholeOrError(const CallerRequest& request, bool idempotent,
+                         const std::vector<AttemptFault>& faults) {
+  RequestFleet fleet;
+  fleet.targets.Script(faults);
+  const CallResult result = fleet.Call(request);
+  const std::string expected =
+      fleet.targets.Answer(request.id, request.streamed);
+  const std::string& body = fleet.writer.body();
+  const bool whole = fleet.writer.whole();
+  if (whole && fleet.writer.status() == 200 && body != expected) {
+    return "given as whole: " + body;
+  }
+  if (!whole && !expected.starts_with(body)) return "not a prefix: " + body;
+  if (whole != (result.reason == Reason::kNone)) return "reason and answer";
+  const int executions = fleet.targets.Executions(request.id);
+  if (result.verdict == Verdict::kNotRun && executions > 0) return "not run";
+  if (!idempotent && executions > 1) return "ran more than once";
+  const auto records = fleet.gate.records();
+  if (records.size() != 1) return "records";
+  const Tokens billed = records[0].billed;
+  if (fleet.gate.balance() + billed != RequestFleet::kBalance) return "balance";
+  if (fleet.gate.open() != 0) return "reservation left open";
+  if (!whole && body.empty() && billed > Tokens()) return "billed for nothing";
+  if (whole && fleet.writer.status() == 200 && request.streamed &&
+      billed < Tokens(kPromptTokens + kParts)) {
+    return "billed too little";
+  }
+  if (request.streamed && billed > Tokens(50 + kParts)) {
+    return "billed twice";
+  }
+  return "";
+}
+
+struct CallShape {
+  const char* model;
+  bool streamed;
+  bool idempotent;
+};
+constexpr CallShape kShapes[] = {{"m", true, true},
+                                 {"m", false, true},
+                                 {"s", true, false},
+                                 {"s", false, false}};
+
+TEST(StreamTest, IsWholeOrAnErrorUnderEveryTripleOfFaults) {
+  for (const CallShape& shape : kShapes) {
+    for (int a = 0; a < kAttemptFaultCount; ++a) {
+      for (int b = 0; b < kAttemptFaultCount; ++b) {
+        for (int c = 0; c < kAttemptFaultCount; ++c) {
+          EXPECT_EQ(
+              WholeOrError(ChatCall("r", shape.model, shape.streamed),
+                           shape.idempotent,
+                           {AttemptFault(a), AttemptFault(b), AttemptFault(c)}),
+              "")
+              << shape.model << shape.streamed << ": " << a << ", " << b << ", "
+              << c;
+        }
+      }
+    }
+  }
+}
+
+class StreamRecoveryTest : public testing::Test {
+ protected:
+  RequestFleet fleet_;
+};
+
+TEST_F(StreamRecoveryTest, ResumesASilentStreamWithinTwoSeconds) {
+  fleet_.targets.Script({AttemptFault::kSilent});
+  const absl::Time begun = fleet_.clock.Now();
+  std::vector<TargetCall> calls;
+  fleet_.targets.OnSend([&](const TargetCall& call) { calls.push_back(call); });
+  EXPECT_EQ(fleet_.Call(ChatCall("r", "s", true)).reason, Reason::kNone);
+  ASSERT_EQ(calls.size(), 2u);
+  EXPECT_EQ(calls[1].target, calls[0].target);
+  EXPECT_EQ(calls[1].resume_offset, 4u);
+  EXPECT_TRUE(calls[1].fresh_connection);
+  EXPECT_EQ(fleet_.targets.Executions(RequestId("r")), 1);
+  const absl::Duration streaming = absl::Milliseconds(20) * (kParts + 1);
+  EXPECT_LT(fleet_.clock.Now() - begun, streaming + absl::Seconds(2));
+}
+
+TEST_F(StreamRecoveryTest, RunsADeterministicStreamAgainAtAnotherTarget) {
+  fleet_.targets.Script({AttemptFault::kCut, AttemptFault::kUnreachable,
+                         AttemptFault::kUnreachable});
+  EXPECT_EQ(fleet_.Call(ChatCall("r", "m", true)).reason, Reason::kNone);
+  EXPECT_EQ(fleet_.targets.Executions(RequestId("r")), 2);
+  EXPECT_EQ(fleet_.gate.records()[0].billed, Tokens(kPromptTokens + kParts));
+}
+
+// The relay on its own: parts arrive in any order and number, from two runs.
+struct Part {
+  // Relative to the event that the caller needs next.
+  int offset = 0;
+  bool other_run = false;
+};
+
+RC_GTEST_PROP(AnswerRelayTest, PassesOnEachEventOnceAndInOrder, ()) {
+  const auto parts =
+      *rc::gen::container<std::vector<Part>>(rc::gen::build<Part>(
+          rc::gen::set(&Part::offset, rc::gen::weightedElement<int>(
+                                          {{8, 0}, {2, -1}, {2, -2}, {1, 1}})),
+          rc::gen::set(&Part::other_run, rc::gen::weightedElement<bool>(
+                                             {{8, false}, {1, true}}))));
+  RecordingWriter writer;
+  SteppingClock clock;
+  AnswerRelay relay({.chat = true,
+                     .streamed = true,
+                     .compare_repeats = true,
+                     .clock = &clock},
+                    &writer);
+  std::string expected;
+  bool failed = false;
+  TargetSink* sink = relay.BeginAttempt();
+  sink->OnHead(200, "text/event-stream");
+  for (const Part& part : parts) {
+    const std::uint64_t next = relay.delivered();
+    if (part.offset < 0 && next < 2) continue;
+    const std::uint64_t position = next + part.offset;
+    const std::string event =
+        absl::StrCat("data: {\"choices\":[{\"delta\":{\"content\":\"", position,
+                     part.other_run ? "b" : "a", "\"}}]}\n\n");
+    const bool taken = sink->OnData(position, event);
+    const bool differs =
+        position < next && expected.find(event) == std::string::npos;
+    failed = failed || position > next || differs;
+    RC_ASSERT(taken == !failed);
+    if (taken && position == next) expected += event;
+  }
+  RC_ASSERT(writer.body() == expected);
+  RC_ASSERT(relay.EndAttempt({.complete = true}) == !failed);
+  RC_ASSERT(!sink->OnData(relay.delivered(), "data: late\n\n"));
+  RC_ASSERT(writer.body() == expected);
+}
+
+TEST(ProvenVerdictTest, DoesNotTakeARefusalOfACallThatWasAnswered) {
+  const TargetOutcome refused{.verdict = Verdict::kNotRun, .status = 200};
+  EXPECT_EQ(ProvenVerdict(refused, true, false), Verdict::kMayHaveRun);
+  EXPECT_EQ(ProvenVerdict(refused, false, false), Verdict::kNotRun);
+  const TargetOutcome busy{.verdict = Verdict::kNotRun, .status = 503};
+  EXPECT_EQ(ProvenVerdict(busy, true, true), Verdict::kNotRun);
+  const TargetOutcome short_answer{.verdict = Verdict::kRan, .status = 200};
+  EXPECT_EQ(ProvenVerdict(short_answer, true, false), Verdict::kMayHaveRun);
+}
+
+}  // namespace
+}  // namespace wisteriareel
