--- a/test/request_at_most_once_test.cc
+++ b/test/request_at_most_once_test.cc
@@ -91,7 +91,7 @@
       return absl::StrCat("instance ", i, " has unconfirmed changes");
     }
     for (int key = 0; key < keys; ++key) {
-      const std::string wrong = SettleKey(key);
+      std::string wrong = SettleKey(key);
       if (!wrong.empty()) return wrong;
     }
     // What a killed instance had reserved is not given back by anyone here.
@@ -197,7 +197,7 @@
         CustomerId("c"), name,
         ran ? ClaimResolution::kRan : ClaimResolution::kNotRun, "operator",
         absl::Seconds(1), &reason);
-    const std::string wrong = Run({.key = key});
+    std::string wrong = Run({.key = key});
     if (!wrong.empty()) return wrong;
     if (fleet_.targets.Executions(name) == 1) return "";
     return absl::StrCat(name.value(), " can no longer be run");
@@ -209,10 +209,12 @@
 };
 
 rc::Gen<Step> GenStep() {
-  const auto fault = rc::gen::map(rc::gen::inRange(0, kAttemptFaultCount),
-                                  [](int n) { return AttemptFault(n); });
-  const auto failure = rc::gen::map(rc::gen::inRange(0, kFailureCount),
-                                    [](int n) { return Failure(n); });
+  const auto fault =
+      rc::gen::map(rc::gen::inRange(0, kAttemptFaultCount),
+                   [](int n) { return static_cast<AttemptFault>(n); });
+  const auto failure =
+      rc::gen::map(rc::gen::inRange(0, kFailureCount),
+                   [](int n) { return static_cast<Failure>(n); });
   return rc::gen::build<Step>(
       rc::gen::set(&Step::instance,
                    rc::gen::inRange(0, AtMostOnceFleet::kInstances)),
@@ -238,9 +240,9 @@
       Step both;
       for (const auto& [n, alone] : {std::pair(a, &first), {b, &retry}}) {
         if (n < kFailureCount) {
-          alone->failure = both.failure = Failure(n);
+          alone->failure = both.failure = static_cast<Failure>(n);
         } else {
-          alone->first = AttemptFault(n - kFailureCount);
+          alone->first = static_cast<AttemptFault>(n - kFailureCount);
           (both.first == AttemptFault::kNone ? both.first : both.second) =
               alone->first;
         }
--- a/test/request_row_batcher_test.cc
+++ b/test/request_row_batcher_test.cc
@@ -58,6 +58,7 @@
   std::vector<RowChangeResult> ApplyTogether() {
     std::vector<RowChangeResult> results(kThreads);
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int i = 0; i < kThreads; ++i) {
       threads.emplace_back(
           [&, i] { results[i] = batcher_.Apply(Claim(i), kTimeout); });
--- a/test/request_stream_test.cc
+++ b/test/request_stream_test.cc
@@ -63,9 +63,10 @@
       for (int b = 0; b < kAttemptFaultCount; ++b) {
         for (int c = 0; c < kAttemptFaultCount; ++c) {
           EXPECT_EQ(
-              WholeOrError(ChatCall("r", shape.model, shape.streamed),
-                           shape.idempotent,
-                           {AttemptFault(a), AttemptFault(b), AttemptFault(c)}),
+              WholeOrError(
+                  ChatCall("r", shape.model, shape.streamed), shape.idempotent,
+                  {static_cast<AttemptFault>(a), static_cast<AttemptFault>(b),
+                   static_cast<AttemptFault>(c)}),
               "")
               << shape.model << shape.streamed << ": " << a << ", " << b << ", "
               << c;
