Serve callers and call targets over HTTP

Cause: a caller's request has to reach a daemon and from there a target. Change: a listener over cpp-httplib with a connection loop of its own that bounds time and bytes, the caller server, the target client, and a parser that cuts server-sent events whole.

--- /dev/null
+++ b/src/http/caller_server.cc
@@ -0,0 +1,260 @@
+#include "src/http/caller_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "src/http/chat_codec.h"
+#include "src/http/http_answer_writer.h"
+#include "src/http/http_target_client.h"
+#include "src/http/key_hash.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr char kChatPath[] = "/v1/chat/completions";
+constexpr char kHealthPath[] = "/healthz";
+constexpr char kReadyPath[] = "/readyz";
+constexpr char kMetricsPath[] = "/metrics";
+constexpr char kBearer[] = "Bearer ";
+constexpr std::size_t kMaxKeyBytes = 512;
+constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
+constexpr std::size_t kMaxPathBytes = 2048;
+
+// Headers whose second copy another reader might take for the first.
+constexpr const char* kSingleHeaders[] = {
+    "Authorization", kIdempotencyKeyHeader, kTimeoutHeader,
+    kCallerPriorityHeader, "Content-Type"};
+
+bool IsPage(const std::string& path) {
+  return path == kHealthPath || path == kReadyPath || path == kMetricsPath;
+}
+
+bool IsPrintable(const std::string& text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return c > 0x20 && c < 0x7f; });
+}
+
+// Finds the key that a request presents, or says why it is refused.
+std::optional<HttpRefusal> Authenticate(const ConfigSnapshot& config,
+                                        const httplib::Request& request,
+                                        ApiKey* found) {
+  if (config.revision() == Revision()) {
+    return HttpRefusal{503, Reason::kConfigNotLoaded,
+                       "no configuration read yet"};
+  }
+  const HttpRefusal unknown{401, Reason::kUnauthenticated,
+                            "expected Authorization: Bearer with a valid key"};
+  const std::string header = request.get_header_value("Authorization");
+  if (!absl::StartsWithIgnoreCase(header, kBearer)) return unknown;
+  const std::string secret = header.substr(sizeof(kBearer) - 1);
+  if (secret.empty() || secret.size() > kMaxKeyBytes) return unknown;
+  const std::string hash = HashKey(secret);
+  const ApiKey* key = config.FindKeyByHash(hash);
+  if (key == nullptr || !EqualInConstantTime(key->hash, hash)) return unknown;
+  if (key->revoked) return unknown;
+  const Customer* customer = config.FindCustomer(key->customer);
+  if (customer == nullptr) return unknown;
+  if (customer->suspended) {
+    return HttpRefusal{403, Reason::kCustomerSuspended, "customer suspended"};
+  }
+  *found = *key;
+  return std::nullopt;
+}
+
+bool ReadPriority(const httplib::Request& request, Priority* priority) {
+  if (!request.has_header(kCallerPriorityHeader)) return true;
+  const std::string name = request.get_header_value(kCallerPriorityHeader);
+  if (name == "interactive") {
+    *priority = Priority::kInteractive;
+  } else if (name == "normal") {
+    *priority = Priority::kNormal;
+  } else if (name == "batch") {
+    *priority = Priority::kBatch;
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool ReadTimeout(const httplib::Request& request, absl::Duration* timeout) {
+  if (!request.has_header(kTimeoutHeader)) return true;
+  std::uint32_t ms = 0;
+  if (!absl::SimpleAtoi(request.get_header_value(kTimeoutHeader), &ms)) {
+    return false;
+  }
+  *timeout = absl::Milliseconds(ms);
+  return ms > 0;
+}
+
+// Checks what every call must obey.
+std::optional<HttpRefusal> CheckHeaders(const httplib::Request& request,
+                                        const HttpExchange& exchange) {
+  for (const char* name : kSingleHeaders) {
+    if (request.get_header_value_count(name) < 2) continue;
+    return HttpRefusal{400, Reason::kMalformed,
+                       absl::StrCat("header given twice: ", name)};
+  }
+  if (exchange.path.size() > kMaxPathBytes) {
+    return HttpRefusal{414, Reason::kHeaderTooLarge, "path too long"};
+  }
+  if (!IsPrintable(exchange.target) || exchange.target.front() != '/' ||
+      absl::StrContains(exchange.path, "..")) {
+    return HttpRefusal{400, Reason::kMalformed, "bad path"};
+  }
+  const std::string key = request.get_header_value(kIdempotencyKeyHeader);
+  if (key.size() > kMaxIdempotencyKeyBytes || !IsPrintable(key)) {
+    return HttpRefusal{400, Reason::kMalformed, "bad Idempotency-Key"};
+  }
+  Priority priority = Priority::kNormal;
+  if (!ReadPriority(request, &priority)) {
+    return HttpRefusal{400, Reason::kMalformed,
+                       absl::StrCat(kCallerPriorityHeader,
+                                    ": expected interactive, normal, batch")};
+  }
+  absl::Duration timeout;
+  if (!ReadTimeout(request, &timeout)) {
+    return HttpRefusal{400, Reason::kMalformed,
+                       absl::StrCat(kTimeoutHeader, ": expected milliseconds")};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+CallerServer::CallerServer(CallerServerOptions options, CallerServerParts parts)
+    : options_(std::move(options)),
+      parts_(std::move(parts)),
+      listener_(std::make_unique<HttpListener>(options_.listener, this)) {}
+
+CallerServer::~CallerServer() { Stop(absl::ZeroDuration()); }
+
+std::optional<HttpRefusal> CallerServer::CheckHead(
+    const httplib::Request& request, const HttpExchange& exchange) {
+  if (IsPage(exchange.path)) return std::nullopt;
+  std::optional<HttpRefusal> refusal = CheckHeaders(request, exchange);
+  if (refusal) return refusal;
+  ApiKey key;
+  refusal = Authenticate(*parts_.config->Current(), request, &key);
+  if (refusal) return refusal;
+  if (exchange.path != kChatPath) return std::nullopt;
+  if (request.method != "POST") {
+    return HttpRefusal{405, Reason::kMalformed, "expected POST"};
+  }
+  const std::string& type = exchange.content_type;
+  if (!type.empty() && !absl::StartsWithIgnoreCase(type, "application/json")) {
+    return HttpRefusal{415, Reason::kMalformed, "expected application/json"};
+  }
+  return std::nullopt;
+}
+
+bool CallerServer::ServePage(const HttpExchange& exchange,
+                             httplib::Response* response) {
+  if (exchange.path == kHealthPath) {
+    response->set_content("ok\n", "text/plain");
+    return true;
+  }
+  if (exchange.path == kReadyPath) {
+    const bool ready = !parts_.ready || parts_.ready();
+    response->status = ready ? 200 : 503;
+    response->set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+    return true;
+  }
+  if (exchange.path != kMetricsPath || !parts_.metrics) return false;
+  response->set_content(parts_.metrics(), "text/plain; version=0.0.4");
+  return true;
+}
+
+std::optional<CallerRequest> CallerServer::MakeRequest(
+    const httplib::Request& request, const HttpExchange& exchange,
+    HttpRefusal* refusal) {
+  // The key may have been revoked while the body came in.
+  ApiKey key;
+  const std::optional<HttpRefusal> unknown =
+      Authenticate(*parts_.config->Current(), request, &key);
+  if (unknown) {
+    *refusal = *unknown;
+    return std::nullopt;
+  }
+  CallerRequest call;
+  call.id = RequestId(parts_.random->HexId());
+  call.customer = key.customer;
+  call.budget = key.budget;
+  call.method = request.method;
+  call.path = exchange.target;
+  call.content_type = exchange.content_type;
+  call.body = request.body;
+  call.idempotency_key =
+      IdempotencyKey(request.get_header_value(kIdempotencyKeyHeader));
+  ReadPriority(request, &call.priority);
+  absl::Duration timeout = options_.default_timeout;
+  ReadTimeout(request, &timeout);
+  call.received = parts_.clock->Now();
+  call.deadline = call.received + std::min(timeout, options_.max_timeout);
+  if (exchange.path != kChatPath) {
+    call.kind = CallKind::kService;
+    return call;
+  }
+  LastReason reason;
+  const std::optional<ChatCall> chat = ParseChatCall(request.body, &reason);
+  if (!chat) {
+    *refusal = {400, reason.reason(), reason.detail()};
+    return std::nullopt;
+  }
+  call.model = chat->model;
+  call.streamed = chat->streamed;
+  call.prompt_bound = chat->prompt_bound;
+  call.output_limit = chat->output_limit;
+  call.prefix_hash = chat->prefix_hash;
+  return call;
+}
+
+void CallerServer::Serve(const httplib::Request& request,
+                         HttpExchange* exchange, httplib::Response* response) {
+  if (IsPage(exchange->path)) {
+    if (ServePage(*exchange, response)) return;
+    Refuse({404, Reason::kNotFound, "no such page"}, response);
+    return;
+  }
+  HttpRefusal refusal;
+  const std::optional<CallerRequest> call =
+      MakeRequest(request, *exchange, &refusal);
+  if (!call) {
+    Refuse(refusal, response);
+    return;
+  }
+  HttpAnswerWriter writer(&call->id, exchange, response);
+  const CallResult result = parts_.handler->Handle(*call, &writer);
+  writer.Close(result);
+  if (!writer.finished()) AddRetryAfter(result, response);
+}
+
+void CallerServer::AddRetryAfter(const CallResult& result,
+                                 httplib::Response* response) {
+  const bool worth_it = response->status == 429 || response->status == 503;
+  absl::Duration wait = result.retry_after;
+  if (wait <= absl::ZeroDuration() && worth_it) {
+    wait = options_.default_retry_after;
+  }
+  if (wait <= absl::ZeroDuration()) return;
+  // Whole seconds, rounded up.
+  const std::int64_t seconds =
+      absl::ToInt64Seconds(absl::Ceil(wait, absl::Seconds(1)));
+  response->set_header("Retry-After", absl::StrCat(seconds));
+}
+
+void CallerServer::Refuse(const HttpRefusal& refusal,
+                          httplib::Response* response) {
+  parts_.counters->Add(Counter::kCallersRefused, 1);
+  parts_.counters->Refused(refusal.reason);
+  const RequestId id(parts_.random->HexId());
+  const CallResult result{.reason = refusal.reason, .detail = refusal.detail};
+  response->status = refusal.status;
+  response->set_content(ErrorBody(id, result), "application/json");
+  response->set_header(kRequestIdHeader, id.value());
+  AddRetryAfter(result, response);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/http/guarded_server.cc
@@ -0,0 +1,337 @@
+#include "src/http/guarded_server.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "wisteriareel/clock.h"
+
+namespace wisteriareel {
+namespace {
+
+// How often an idle connection looks whether it should close.
+constexpr absl::Duration kIdlePollInterval = absl::Milliseconds(250);
+// How long a closing connection takes in what the client still sends, so that
+// the client reads the answer before it sees a reset.
+constexpr absl::Duration kLinger = absl::Milliseconds(200);
+// Digits of a content length; more would not fit.
+constexpr std::size_t kMaxDigits = 18;
+constexpr std::size_t kLingerBytes = 256ull << 10;
+// Bytes that chunked coding may add to a body.
+constexpr std::uint64_t kChunkingSlack = 64ull << 10;
+// The path under which the library routes every request; the real one is in
+// the exchange. Keeps callers' paths out of std::regex, which recurses for
+// each byte.
+constexpr char kRoute[] = "/";
+
+// The exchange and the refusal of the request that this thread serves.
+thread_local HttpExchange* current_exchange = nullptr;
+thread_local std::optional<HttpRefusal>* current_refusal = nullptr;
+
+void CloseGently(int fd) {
+  ::shutdown(fd, SHUT_WR);
+  const absl::Time deadline = SystemClock()->Now() + kLinger;
+  std::array<char, 4096> scratch;
+  std::size_t taken = 0;
+  while (taken < kLingerBytes) {
+    const absl::Duration left = deadline - SystemClock()->Now();
+    pollfd entry{.fd = fd, .events = POLLIN, .revents = 0};
+    const auto ms = absl::ToInt64Milliseconds(left);
+    if (ms <= 0 || poll(&entry, 1, static_cast<int>(ms)) <= 0) break;
+    const ssize_t n = recv(fd, scratch.data(), scratch.size(), MSG_DONTWAIT);
+    if (n <= 0) break;
+    taken += static_cast<std::size_t>(n);
+  }
+}
+
+bool IsNumber(const std::string& text) {
+  if (text.empty() || text.size() > kMaxDigits) return false;
+  return std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return c >= '0' && c <= '9'; });
+}
+
+// Returns why the head is unfit, whatever the handler thinks of it.
+std::optional<HttpRefusal> CheckFraming(const httplib::Request& request,
+                                        std::uint64_t max_body_bytes) {
+  // Two readings of where a body ends let one request hide in another.
+  const std::size_t lengths = request.get_header_value_count("Content-Length");
+  const bool coded = request.has_header("Transfer-Encoding");
+  if (lengths > 1 || (lengths == 1 && coded)) {
+    return HttpRefusal{400, Reason::kMalformed, "ambiguous body length"};
+  }
+  if (coded && request.get_header_value("Transfer-Encoding") != "chunked") {
+    return HttpRefusal{400, Reason::kMalformed, "unknown transfer encoding"};
+  }
+  if (request.has_header("Content-Encoding")) {
+    return HttpRefusal{415, Reason::kMalformed, "content encoding not taken"};
+  }
+  if (lengths == 0) return std::nullopt;
+  const std::string length = request.get_header_value("Content-Length");
+  if (!IsNumber(length)) {
+    return HttpRefusal{400, Reason::kMalformed, "bad content length"};
+  }
+  if (std::stoull(length) > max_body_bytes) {
+    return HttpRefusal{413, Reason::kBodyTooLarge, "body too large"};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+GuardedServer::GuardedServer(const HttpListenerOptions* options,
+                             HttpExchangeHandler* handler)
+    : options_(*options), handler_(handler), tls_(options->tls) {
+  new_task_queue = [this] {
+    auto* threads = new ConnectionThreads(options_.limits.max_connections);
+    threads_.store(threads);
+    return threads;
+  };
+  set_tcp_nodelay(true);
+  set_payload_max_length(options_.limits.max_body_bytes);
+  set_socket_options([this](socket_t fd) {
+    listening_fd_ = fd;
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  });
+  set_pre_routing_handler(
+      [this](const httplib::Request&, httplib::Response& response) {
+        if (!current_refusal->has_value()) {
+          return HandlerResponse::Unhandled;
+        }
+        current_exchange->close = true;
+        handler_->Refuse(**current_refusal, &response);
+        return HandlerResponse::Handled;
+      });
+  const HandlerWithResponse explain = [this](const httplib::Request&,
+                                             httplib::Response& res) {
+    if (!res.body.empty()) return HandlerResponse::Unhandled;
+    HttpRefusal refusal{res.status, Reason::kMalformed, "bad request"};
+    if (res.status == 413) refusal.reason = Reason::kBodyTooLarge;
+    if (res.status == 414) refusal.reason = Reason::kHeaderTooLarge;
+    handler_->Refuse(refusal, &res);
+    return HandlerResponse::Handled;
+  };
+  set_error_handler(explain);
+  const auto serve = [this](const httplib::Request& request,
+                            httplib::Response& response) {
+    handler_->Serve(request, current_exchange, &response);
+    if (current_exchange->answered) current_exchange->stream->DiscardWrites();
+  };
+  Get(kRoute, serve);
+  Post(kRoute, serve);
+  Put(kRoute, serve);
+  Patch(kRoute, serve);
+  Delete(kRoute, serve);
+}
+
+bool GuardedServer::Bind(int* port, LastReason* reason) {
+  if (options_.tls.enabled() && !tls_.Reload(reason)) return false;
+  const Endpoint& endpoint = options_.endpoint;
+  if (endpoint.port == 0) {
+    *port = bind_to_any_port(endpoint.host);
+  } else if (bind_to_port(endpoint.host, endpoint.port)) {
+    *port = endpoint.port;
+  } else {
+    *port = -1;
+  }
+  if (*port <= 0) {
+    reason->Set(Reason::kUnavailable,
+                absl::StrCat("can't bind ", endpoint.host, ":", endpoint.port));
+    return false;
+  }
+  // The library's own backlog is 5.
+  ::listen(listening_fd_, options_.backlog);
+  return true;
+}
+
+bool GuardedServer::KeepsAlive() const {
+  if (draining_.load()) return false;
+  const ConnectionThreads* threads = threads_.load();
+  const double limit = options_.limits.keep_alive_share *
+                       static_cast<double>(options_.limits.max_connections);
+  return static_cast<double>(threads->busy()) <= limit;
+}
+
+bool GuardedServer::WaitForRequest(BoundedStream* stream) const {
+  absl::Duration left = options_.limits.keep_alive;
+  while (left > absl::ZeroDuration()) {
+    const absl::Duration slice = std::min(left, kIdlePollInterval);
+    if (stream->WaitReadable(slice)) return true;
+    if (stream->failure() != StreamFailure::kSilence) return false;
+    if (!KeepsAlive()) return false;
+    left -= slice;
+  }
+  return false;
+}
+
+bool GuardedServer::process_and_close_socket(socket_t sock) {
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    open_.insert(sock);
+  }
+  if (ConnectionThreads::MustRefuse()) {
+    RefuseConnection(sock);
+  } else if (!options_.tls.enabled()) {
+    ServeConnection(sock, nullptr);
+    CloseGently(sock);
+  } else {
+    const std::shared_ptr<SSL_CTX> context = tls_.Current();
+    SSL* tls = SSL_new(context.get());
+    SSL_set_fd(tls, sock);
+    fcntl(sock, F_SETFL, fcntl(sock, F_GETFL, 0) | O_NONBLOCK);
+    if (Handshake(tls, sock)) {
+      ServeConnection(sock, tls);
+      SSL_shutdown(tls);
+    }
+    SSL_free(tls);
+    ERR_clear_error();
+    CloseGently(sock);
+  }
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    open_.erase(sock);
+  }
+  close(sock);
+  closed_.notify_all();
+  return true;
+}
+
+bool GuardedServer::Handshake(SSL* tls, int fd) const {
+  const absl::Time deadline =
+      SystemClock()->Now() + options_.limits.head_timeout;
+  while (true) {
+    ERR_clear_error();
+    const int result = SSL_accept(tls);
+    if (result == 1) return true;
+    const int error = SSL_get_error(tls, result);
+    const bool wants_read = error == SSL_ERROR_WANT_READ;
+    if (!wants_read && error != SSL_ERROR_WANT_WRITE) return false;
+    const absl::Duration left = deadline - SystemClock()->Now();
+    if (left <= absl::ZeroDuration()) return false;
+    const std::int16_t events = wants_read ? POLLIN : POLLOUT;
+    pollfd entry{.fd = fd, .events = events, .revents = 0};
+    const auto ms = absl::ToInt64Milliseconds(left) + 1;
+    if (poll(&entry, 1, static_cast<int>(ms)) <= 0) return false;
+  }
+}
+
+void GuardedServer::ServeConnection(int fd, SSL* tls) {
+  const HttpLimits& limits = options_.limits;
+  BoundedStream stream(
+      {.fd = fd, .tls = tls, .write_timeout = limits.write_timeout});
+  for (int served = 1; served <= limits.max_requests_per_connection; ++served) {
+    if (!WaitForRequest(&stream)) return;
+    const bool last =
+        served == limits.max_requests_per_connection || !KeepsAlive();
+    if (!ServeRequest(&stream, last)) return;
+  }
+}
+
+bool GuardedServer::ServeRequest(BoundedStream* stream, bool last) {
+  HttpExchange exchange{.stream = stream, .close = last};
+  std::optional<HttpRefusal> refusal;
+  current_exchange = &exchange;
+  current_refusal = &refusal;
+  const std::uint64_t written_before = stream->bytes_written();
+  stream->LimitReads(
+      {.deadline = SystemClock()->Now() + options_.limits.head_timeout,
+       .bytes = options_.limits.max_head_bytes});
+  bool closed = false;
+  const bool ok =
+      process_request(*stream, last, closed, [&](httplib::Request& request) {
+        PrepareRequest(&request, &exchange);
+        refusal = CheckFraming(request, options_.limits.max_body_bytes);
+        if (!refusal) refusal = handler_->CheckHead(request, exchange);
+        if (refusal) request.headers.erase("Expect");
+        stream->LimitReads(
+            {.deadline = SystemClock()->Now() + options_.limits.body_timeout,
+             .bytes = options_.limits.max_body_bytes + kChunkingSlack});
+      });
+  current_exchange = nullptr;
+  current_refusal = nullptr;
+  if (!ok && stream->bytes_written() == written_before) {
+    AnswerBrokenRequest(stream);
+  }
+  return ok && !closed && !exchange.close &&
+         stream->failure() == StreamFailure::kNone;
+}
+
+void GuardedServer::PrepareRequest(httplib::Request* request,
+                                   HttpExchange* exchange) {
+  exchange->path = request->path;
+  exchange->target = request->target;
+  exchange->content_type = request->get_header_value("Content-Type");
+  request->path = std::string(kRoute);
+  // Bodies are handed over as they are: no form parsing, no compression, no
+  // ranges of an answer.
+  request->headers.erase("Content-Type");
+  request->headers.erase("Accept-Encoding");
+  request->ranges.clear();
+}
+
+void GuardedServer::AnswerBrokenRequest(BoundedStream* stream) {
+  HttpRefusal refusal;
+  switch (stream->failure()) {
+    case StreamFailure::kTooManyBytes:
+      refusal = {431, Reason::kHeaderTooLarge, "request head too large"};
+      break;
+    case StreamFailure::kDeadline:
+    case StreamFailure::kSilence:
+      refusal = {408, Reason::kDeadlineExceeded, "request too slow"};
+      break;
+    case StreamFailure::kNone:
+    case StreamFailure::kClosed:
+    case StreamFailure::kCancelled:
+      return;
+  }
+  httplib::Response response;
+  handler_->Refuse(refusal, &response);
+  response.set_header("Connection", "close");
+  response.set_header("Content-Length", std::to_string(response.body.size()));
+  const std::string bytes = absl::StrCat(
+      SerializeHead(response.status, response.headers), response.body);
+  stream->WriteAll(bytes.data(), bytes.size());
+}
+
+void GuardedServer::RefuseConnection(int fd) {
+  const HttpRefusal refusal{503, Reason::kConnectionLimit,
+                            "too many connections"};
+  httplib::Response response;
+  handler_->Refuse(refusal, &response);
+  if (!options_.tls.enabled()) {
+    BoundedStream stream({.fd = fd, .write_timeout = kLinger});
+    response.set_header("Connection", "close");
+    response.set_header("Content-Length", std::to_string(response.body.size()));
+    const std::string bytes = absl::StrCat(
+        SerializeHead(response.status, response.headers), response.body);
+    stream.WriteAll(bytes.data(), bytes.size());
+    CloseGently(fd);
+  }
+}
+
+std::size_t GuardedServer::WaitForConnections(absl::Duration timeout) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  closed_.wait_for(lock, absl::ToChronoMilliseconds(timeout),
+                   [this] { return open_.empty(); });
+  return open_.size();
+}
+
+std::size_t GuardedServer::CutConnections() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
+  return open_.size();
+}
+
+std::size_t GuardedServer::connections() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return open_.size();
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/http/guarded_server.h
@@ -0,0 +1,68 @@
+#ifndef WISTERIAREEL_SRC_HTTP_GUARDED_SERVER_H_
+#define WISTERIAREEL_SRC_HTTP_GUARDED_SERVER_H_
+
+#include <httplib.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+#include "absl/container/flat_hash_set.h"
+#include "src/http/connection_threads.h"
+#include "src/http/http_listener.h"
+#include "src/http/listener_tls.h"
+
+namespace wisteriareel {
+
+// cpp-httplib's server with a connection loop of its own: the library's loop
+// restarts its timeouts with each byte, polls idle connections a hundred
+// times a second, and wants the status of an answer before its handler runs.
+// Parsing and routing stay the library's. Thread-safe.
+class GuardedServer final : public httplib::Server {
+ public:
+  // Both must outlive the server.
+  GuardedServer(const HttpListenerOptions* options,
+                HttpExchangeHandler* handler);
+
+  bool Bind(int* port, LastReason* reason);
+  bool ReloadTls(LastReason* reason) { return tls_.Reload(reason); }
+  void BeginDrain() { draining_.store(true); }
+
+  // Waits until no connection is open. Returns how many were left.
+  std::size_t WaitForConnections(absl::Duration timeout);
+  // Breaks all open connections. Returns how many.
+  std::size_t CutConnections();
+  std::size_t connections() const;
+
+ private:
+  bool process_and_close_socket(socket_t sock) override;
+
+  void ServeConnection(int fd, SSL* tls);
+  bool ServeRequest(BoundedStream* stream, bool last);
+  void PrepareRequest(httplib::Request* request, HttpExchange* exchange);
+  void RefuseConnection(int fd);
+  // Answers a request that broke a limit before it was parsed.
+  void AnswerBrokenRequest(BoundedStream* stream);
+  bool WaitForRequest(BoundedStream* stream) const;
+  bool KeepsAlive() const;
+  bool Handshake(SSL* tls, int fd) const;
+
+  const HttpListenerOptions& options_;
+  HttpExchangeHandler* const handler_;
+  ListenerTls tls_;
+  std::atomic<bool> draining_{false};
+  socket_t listening_fd_ = -1;
+  // Owned by the library once it listens.
+  std::atomic<ConnectionThreads*> threads_{nullptr};
+
+  mutable std::mutex mutex_;
+  std::condition_variable closed_;
+  absl::flat_hash_set<int> open_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_HTTP_GUARDED_SERVER_H_
--- /dev/null
+++ b/src/http/http_answer_writer.h
@@ -0,0 +1,52 @@
+#ifndef WISTERIAREEL_SRC_HTTP_HTTP_ANSWER_WRITER_H_
+#define WISTERIAREEL_SRC_HTTP_HTTP_ANSWER_WRITER_H_
+
+#include <httplib.h>
+
+#include <string>
+#include <string_view>
+
+#include "src/http/http_listener.h"
+#include "wisteriareel/request_handler.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+// Writes an answer to a caller's connection. An event stream goes out as it
+// comes, in chunked coding; any other answer is held until it is whole, so
+// that its length can be stated and a failure can still be told. Not
+// thread-safe.
+class HttpAnswerWriter final : public AnswerWriter {
+ public:
+  // All must outlive the writer.
+  HttpAnswerWriter(const RequestId* request, HttpExchange* exchange,
+                   httplib::Response* response);
+
+  bool WriteHead(int status, std::string_view content_type) override;
+  bool WriteData(std::string_view bytes) override;
+  bool Finish() override;
+  bool CallerGone() const override;
+
+  // Ends the answer of a request that ended with `result`. An unfinished
+  // stream gets an error event and is then cut without its end marker.
+  void Close(const CallResult& result);
+
+  // Returns whether the whole answer was handed to the connection.
+  bool finished() const { return finished_; }
+
+ private:
+  bool WriteChunk(std::string_view bytes);
+
+  const RequestId& request_;
+  HttpExchange* const exchange_;
+  httplib::Response* const response_;
+  bool head_written_ = false;
+  bool streaming_ = false;
+  bool finished_ = false;
+  bool caller_gone_ = false;
+  bool end_marker_written_ = false;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_HTTP_HTTP_ANSWER_WRITER_H_
--- /dev/null
+++ b/src/http/http_listener.cc
@@ -0,0 +1,85 @@
+#include "src/http/http_listener.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "src/http/guarded_server.h"
+#include "wisteriareel/clock.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr absl::Duration kStartPoll = absl::Milliseconds(1);
+// After connections were cut, how long their threads may take to notice.
+constexpr absl::Duration kCutWait = absl::Seconds(5);
+
+const char* StatusText(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 408:
+      return "Request Timeout";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Answer";
+  }
+}
+
+}  // namespace
+
+std::optional<HttpRefusal> HttpExchangeHandler::CheckHead(
+    const httplib::Request& /*request*/, const HttpExchange& /*exchange*/) {
+  return std::nullopt;
+}
+
+std::string SerializeHead(int status, const httplib::Headers& headers) {
+  std::string head =
+      absl::StrCat("HTTP/1.1 ", status, " ", StatusText(status), "\r\n");
+  for (const auto& [name, text] : headers) {
+    absl::StrAppend(&head, name, ": ", text, "\r\n");
+  }
+  absl::StrAppend(&head, "\r\n");
+  return head;
+}
+
+HttpListener::HttpListener(HttpListenerOptions options,
+                           HttpExchangeHandler* handler)
+    : options_(std::move(options)),
+      server_(std::make_unique<GuardedServer>(&options_, handler)) {}
+
+HttpListener::~HttpListener() { Stop(absl::ZeroDuration()); }
+
+bool HttpListener::Start(LastReason* reason) {
+  if (!server_->Bind(&port_, reason)) return false;
+  accept_thread_ = std::thread([this] { server_->listen_after_bind(); });
+  while (!server_->is_running()) SystemClock()->Sleep(kStartPoll);
+  return true;
+}
+
+void HttpListener::BeginDrain() { server_->BeginDrain(); }
+
+std::size_t HttpListener::Stop(absl::Duration grace) {
+  if (!accept_thread_.joinable()) return 0;
+  server_->BeginDrain();
+  server_->stop();
+  std::size_t cut = 0;
+  if (server_->WaitForConnections(grace) > 0) {
+    cut = server_->CutConnections();
+    server_->WaitForConnections(kCutWait);
+  }
+  accept_thread_.join();
+  return cut;
+}
+
+bool HttpListener::ReloadTls(LastReason* reason) {
+  return server_->ReloadTls(reason);
+}
+
+std::size_t HttpListener::connections() const { return server_->connections(); }
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/http/http_target_client.cc
@@ -0,0 +1,169 @@
+#include "src/http/http_target_client.h"
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "src/http/sse_parser.h"
+#include "wisteriareel/clock.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr int kFirstErrorStatus = 400;
+
+// Takes in one answer and judges its end.
+class AnswerReader {
+ public:
+  AnswerReader(const TargetCall& call, TargetSink* sink,
+               std::uint64_t max_bytes)
+      : call_(call), sink_(sink), max_bytes_(max_bytes) {}
+
+  bool OnHead(const httplib::Response& head) {
+    status_ = head.status;
+    said_not_run_ = head.get_header_value(kNotRunHeader) == "true";
+    // Without either, a broken connection looks like the end.
+    has_end_ = head.has_header("Content-Length") ||
+               head.has_header("Transfer-Encoding");
+    const std::string type = head.get_header_value("Content-Type");
+    events_ = absl::StartsWithIgnoreCase(type, "text/event-stream");
+    sink_->OnHead(status_, type);
+    return true;
+  }
+
+  bool OnBytes(std::string_view bytes) {
+    if (!events_) {
+      if (delivered_ + bytes.size() > max_bytes_) return false;
+      const std::uint64_t position = delivered_;
+      delivered_ += bytes.size();
+      return sink_->OnData(position, bytes);
+    }
+    const auto receive = [this](std::string_view event) {
+      return sink_->OnData(call_.resume_offset + delivered_++, event);
+    };
+    const SseParser::State state = parser_.Feed(bytes, receive);
+    return state == SseParser::State::kOpen || state == SseParser::State::kDone;
+  }
+
+  // Returns how the attempt ended.
+  TargetOutcome Judge(const ClientOutcome& sent) const {
+    TargetOutcome outcome;
+    outcome.status = status_;
+    outcome.delivered = delivered_;
+    outcome.complete = IsComplete(sent);
+    if (sent.bytes_sent == 0 || said_not_run_) {
+      outcome.verdict = Verdict::kNotRun;
+    } else if (outcome.complete) {
+      outcome.verdict = Verdict::kRan;
+    }
+    outcome.reason = ReasonFor(sent, outcome);
+    return outcome;
+  }
+
+ private:
+  bool IsComplete(const ClientOutcome& sent) const {
+    if (status_ == 0) return false;
+    // A whole stream is known by its end marker, whatever the connection does
+    // afterwards.
+    if (events_) return parser_.state() == SseParser::State::kDone;
+    return sent.ok && has_end_;
+  }
+
+  Reason ReasonFor(const ClientOutcome& sent,
+                   const TargetOutcome& outcome) const {
+    if (outcome.complete) {
+      return status_ >= kFirstErrorStatus ? Reason::kTargetFailed
+                                          : Reason::kNone;
+    }
+    if (sent.failure == StreamFailure::kCancelled) return Reason::kCancelled;
+    if (parser_.state() == SseParser::State::kStopped) {
+      return Reason::kCancelled;
+    }
+    if (sent.bytes_sent == 0) return Reason::kTargetUnreachable;
+    if (sent.failure == StreamFailure::kDeadline) {
+      return Reason::kDeadlineExceeded;
+    }
+    if (sent.failure == StreamFailure::kSilence) return Reason::kStreamStalled;
+    if (said_not_run_) return Reason::kTargetFailed;
+    return status_ == 0 ? Reason::kTargetFailed : Reason::kAnswerIncomplete;
+  }
+
+  const TargetCall& call_;
+  TargetSink* const sink_;
+  const std::uint64_t max_bytes_;
+  SseParser parser_;
+  int status_ = 0;
+  bool said_not_run_ = false;
+  bool has_end_ = false;
+  bool events_ = false;
+  std::uint64_t delivered_ = 0;
+};
+
+httplib::Request MakeRequest(const TargetCall& call) {
+  httplib::Request request;
+  request.method = call.method;
+  request.path = call.path;
+  request.body = call.body;
+  if (!call.content_type.empty()) {
+    request.set_header("Content-Type", call.content_type);
+  }
+  request.set_header(kRequestIdHeader, call.request.value());
+  request.set_header(kAttemptHeader, absl::StrCat(call.attempt));
+  request.set_header(kPriorityHeader,
+                     absl::StrCat(static_cast<int>(call.priority)));
+  if (!call.idempotency_key.empty()) {
+    request.set_header(kIdempotencyKeyHeader, call.idempotency_key.value());
+  }
+  if (call.resume_offset > 0) {
+    request.set_header(kResumeOffsetHeader, absl::StrCat(call.resume_offset));
+  }
+  return request;
+}
+
+}  // namespace
+
+HttpTargetClient::HttpTargetClient(HttpTargetClientOptions options)
+    : options_(std::move(options)), connections_(options_.connections) {}
+
+TargetOutcome HttpTargetClient::Send(const TargetCall& call, TargetSink* sink,
+                                     const std::atomic<bool>& cancelled) {
+  AnswerReader reader(call, sink, options_.max_answer_bytes);
+  httplib::Request request = MakeRequest(call);
+  request.response_handler = [&](const httplib::Response& head) {
+    return reader.OnHead(head);
+  };
+  request.content_receiver = [&](const char* bytes, std::size_t size,
+                                 std::uint64_t, std::uint64_t) {
+    return reader.OnBytes(std::string_view(bytes, size));
+  };
+  httplib::Response response;
+  const ClientOutcome sent =
+      connections_.Exchange(call.endpoint, call.fresh_connection,
+                            {.connect_timeout = call.connect_timeout,
+                             .silence = call.progress_timeout,
+                             .deadline = call.deadline,
+                             .cancelled = &cancelled},
+                            &request, &response);
+  const TargetOutcome outcome = reader.Judge(sent);
+  if (outcome.reason == Reason::kCancelled && sent.bytes_sent > 0) {
+    Cancel(call);
+  }
+  return outcome;
+}
+
+void HttpTargetClient::Cancel(const TargetCall& call) {
+  httplib::Request request;
+  request.method = "DELETE";
+  request.path = absl::StrCat("/v1/requests/", call.request.value());
+  httplib::Response response;
+  connections_.Exchange(
+      call.endpoint, /*fresh=*/true,
+      {.connect_timeout = options_.cancel_timeout,
+       .silence = options_.cancel_timeout,
+       .deadline = SystemClock()->Now() + options_.cancel_timeout},
+      &request, &response);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/http/http_target_client.h
@@ -0,0 +1,47 @@
+#ifndef WISTERIAREEL_SRC_HTTP_HTTP_TARGET_CLIENT_H_
+#define WISTERIAREEL_SRC_HTTP_HTTP_TARGET_CLIENT_H_
+
+#include <atomic>
+
+#include "absl/time/time.h"
+#include "src/http/client_connections.h"
+#include "wisteriareel/target_client.h"
+
+namespace wisteriareel {
+
+// Headers between an instance and its targets.
+inline constexpr char kRequestIdHeader[] = "X-Request-Id";
+inline constexpr char kIdempotencyKeyHeader[] = "Idempotency-Key";
+inline constexpr char kAttemptHeader[] = "X-Attempt";
+inline constexpr char kPriorityHeader[] = "X-Priority";
+// Events of the stream that the caller already has.
+inline constexpr char kResumeOffsetHeader[] = "X-Resume-Offset";
+// Sent by a target that refused a call without executing any of it.
+inline constexpr char kNotRunHeader[] = "X-Not-Run";
+
+struct HttpTargetClientOptions {
+  ClientConnections::Options connections;
+  // Bound on a cancel call.
+  absl::Duration cancel_timeout = absl::Seconds(1);
+  // Longest answer of a plain call.
+  std::uint64_t max_answer_bytes = 256ull << 20;
+};
+
+// Sends calls to targets over HTTP. Thread-safe. A cancelled call closes its
+// connection and sends DELETE /v1/requests/ID on another.
+class HttpTargetClient final : public TargetClient {
+ public:
+  explicit HttpTargetClient(HttpTargetClientOptions options);
+
+  TargetOutcome Send(const TargetCall& call, TargetSink* sink,
+                     const std::atomic<bool>& cancelled) override;
+  void Cancel(const TargetCall& call) override;
+
+ private:
+  const HttpTargetClientOptions options_;
+  ClientConnections connections_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_HTTP_HTTP_TARGET_CLIENT_H_
--- /dev/null
+++ b/src/http/listener_tls.cc
@@ -0,0 +1,64 @@
+#include "src/http/listener_tls.h"
+
+#include <openssl/err.h>
+
+#include <utility>
+
+namespace wisteriareel {
+namespace {
+
+bool Fail(const char* what, const std::string& file, LastReason* reason) {
+  ERR_clear_error();
+  reason->Set(Reason::kMalformed, std::string(what) + " " + file);
+  return false;
+}
+
+bool LoadFiles(const TlsOptions& options, SSL_CTX* context,
+               LastReason* reason) {
+  if (!options.cert.empty()) {
+    if (SSL_CTX_use_certificate_chain_file(context, options.cert.c_str()) !=
+        1) {
+      return Fail("can't use certificate", options.cert, reason);
+    }
+    if (SSL_CTX_use_PrivateKey_file(context, options.key.c_str(),
+                                    SSL_FILETYPE_PEM) != 1) {
+      return Fail("can't use key", options.key, reason);
+    }
+    if (SSL_CTX_check_private_key(context) != 1) {
+      return Fail("key doesn't match the certificate", options.key, reason);
+    }
+  }
+  if (options.ca.empty()) return true;
+  if (SSL_CTX_load_verify_locations(context, options.ca.c_str(), nullptr) !=
+      1) {
+    return Fail("can't use authorities", options.ca, reason);
+  }
+  return true;
+}
+
+}  // namespace
+
+ListenerTls::ListenerTls(TlsOptions options) : options_(std::move(options)) {}
+
+bool ListenerTls::Reload(LastReason* reason) {
+  std::shared_ptr<SSL_CTX> next(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
+  if (next == nullptr) return Fail("can't make a TLS context", "", reason);
+  SSL_CTX_set_min_proto_version(next.get(), TLS1_2_VERSION);
+  SSL_CTX_set_mode(next.get(), SSL_MODE_ENABLE_PARTIAL_WRITE |
+                                   SSL_MODE_ACCEPT_MOVING_WRITE_BUFFER);
+  if (!LoadFiles(options_, next.get(), reason)) return false;
+  if (!options_.ca.empty()) {
+    SSL_CTX_set_verify(
+        next.get(), SSL_VERIFY_PEER | SSL_VERIFY_FAIL_IF_NO_PEER_CERT, nullptr);
+  }
+  std::lock_guard<std::mutex> lock(mutex_);
+  current_ = std::move(next);
+  return true;
+}
+
+std::shared_ptr<SSL_CTX> ListenerTls::Current() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return current_;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/http/sse_parser.cc
@@ -0,0 +1,77 @@
+#include "src/http/sse_parser.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr std::string_view kDoneData = "data: [DONE]";
+constexpr std::string_view kDoneDataTight = "data:[DONE]";
+
+std::string_view FirstLine(std::string_view event) {
+  std::string_view line = event.substr(0, event.find('\n'));
+  if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+  return line;
+}
+
+// Returns true if no line of the event carries a field.
+bool IsOnlyComment(std::string_view event) {
+  while (!event.empty()) {
+    const std::string_view line = FirstLine(event);
+    if (!line.empty() && line.front() != ':') return false;
+    event.remove_prefix(event.find('\n') + 1);
+  }
+  return true;
+}
+
+}  // namespace
+
+std::size_t SseParser::FindEventEnd(std::string_view text) {
+  std::size_t line_end = text.find('\n', searched_);
+  while (line_end != std::string_view::npos) {
+    std::size_t next = line_end + 1;
+    if (next < text.size() && text[next] == '\r') ++next;
+    if (next >= text.size()) {
+      // The line after this one isn't known yet.
+      searched_ = line_end;
+      return 0;
+    }
+    if (text[next] == '\n') {
+      searched_ = 0;
+      return next + 1;
+    }
+    line_end = text.find('\n', next);
+  }
+  searched_ = text.size();
+  return 0;
+}
+
+bool SseParser::Take(std::string_view event, const Receiver& receiver) {
+  const std::string_view line = FirstLine(event);
+  if (line == kDoneData || line == kDoneDataTight) {
+    state_ = State::kDone;
+    return true;
+  }
+  if (IsOnlyComment(event)) return true;
+  if (receiver(event)) return true;
+  state_ = State::kStopped;
+  return false;
+}
+
+SseParser::State SseParser::Feed(std::string_view bytes,
+                                 const Receiver& receiver) {
+  if (state_ == State::kDone && !bytes.empty()) state_ = State::kBroken;
+  if (state_ != State::kOpen) return state_;
+  held_.append(bytes);
+  std::string_view rest = held_;
+  while (state_ == State::kOpen) {
+    const std::size_t size = FindEventEnd(rest);
+    if (size == 0) break;
+    if (!Take(rest.substr(0, size), receiver)) return state_;
+    rest.remove_prefix(size);
+  }
+  if (state_ == State::kDone && !rest.empty()) state_ = State::kBroken;
+  if (rest.size() > max_event_bytes_) state_ = State::kBroken;
+  held_.erase(0, held_.size() - rest.size());
+  return state_;
+}
+
+}  // namespace wisteriareel
