Add stand-ins for the platform and for targets, with switchable faults

Cause: the whole path has to run on loopback, and to fail on demand. Change: wisteriareel-standin runs the platform, model engines and plain services; tests of the platform bindings and of the event parser.

--- /dev/null
+++ b/daemons/edge_programs.cmake
@@ -0,0 +1,6 @@
+# Programs for trying and testing; no part of a deployment.
+add_executable(wisteriareel-standin wisteriareel_standin.cc)
+target_link_libraries(wisteriareel-standin PRIVATE
+  wisteriareel_standins wisteriareel_warnings ${DOCOPT_LIBRARY})
+target_compile_definitions(wisteriareel-standin PRIVATE
+  WISTERIAREEL_VERSION="${PROJECT_VERSION}")
--- /dev/null
+++ b/standin/model_engine.cc
@@ -0,0 +1,338 @@
+#include "standin/model_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/strip.h"
+#include "src/http/chat_codec.h"
+#include "src/http/http_target_client.h"
+#include "src/http/sse_parser.h"
+#include "wisteriareel/clock.h"
+
+namespace wisteriareel {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kRequestsPath[] = "/v1/requests/";
+constexpr absl::Duration kGonePoll = absl::Milliseconds(20);
+constexpr std::int64_t kBytesPerToken = 4;
+constexpr std::string_view kGarbage = "zz\r\nnot a chunk\r\n";
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+json FaultsWhenOff() {
+  return {
+      // Each of the following strikes the next so many chat calls.
+      // Stops sending after silent_after_events and keeps the connection.
+      {"silences", 0},
+      {"silent_after_events", 3},
+      // Closes the connection after cut_after_events.
+      {"cuts", 0},
+      {"cut_after_events", 3},
+      // Sends all but the last byte of the end marker, then closes.
+      {"cuts_before_end", 0},
+      // Sends bytes that are no event in the middle of the stream.
+      {"garbles", 0},
+      // Sends the last event once more after the end marker.
+      {"duplicates", 0},
+      // Refuses before execution, saying so.
+      {"refusals", 0},
+      // Fails with status 500, having executed.
+      {"errors", 0},
+      // Added before the first token, in milliseconds.
+      {"slow_ms", 0},
+      {"load_lag_ms", 0},
+      {"cache_event_lag_ms", 0},
+      // Every so-manieth cache event is lost.
+      {"cache_events_drop_every", 0},
+  };
+}
+
+std::string LastMessage(const json& call) {
+  const json& content = call.at("messages").back().value("content", json());
+  return content.is_string() ? content.get<std::string>() : content.dump();
+}
+
+}  // namespace
+
+// One chat call while it is answered.
+struct ModelEngine::Sequence {
+  HttpExchange* exchange = nullptr;
+  EngineText text{""};
+  std::string model;
+  bool streamed = false;
+  Priority priority = Priority::kNormal;
+  std::uint64_t resume_offset = 0;
+  std::uint64_t length = 0;
+  std::int64_t prompt_tokens = 0;
+  std::uint64_t prefix = 0;
+  std::shared_ptr<std::atomic<bool>> cancelled =
+      std::make_shared<std::atomic<bool>>(false);
+  absl::Time arrived;
+  absl::Time first_token;
+  absl::Time generation_start;
+
+  bool Gone() const {
+    return cancelled->load() || exchange->stream->PeerClosed();
+  }
+
+  json Usage() const {
+    const auto output = static_cast<std::int64_t>(length);
+    return {{"prompt_tokens", prompt_tokens},
+            {"completion_tokens", output},
+            {"total_tokens", prompt_tokens + output}};
+  }
+  // The engine's own times, so that a client can tell what others added.
+  json Times() const {
+    const absl::Time now = SystemClock()->Now();
+    return {
+        {"first_token_us", absl::ToInt64Microseconds(first_token - arrived)},
+        {"total_us", absl::ToInt64Microseconds(now - arrived)}};
+  }
+  const char* FinishReason() const {
+    return length < text.natural_length() ? "length" : "stop";
+  }
+  std::string Event(std::uint64_t index) const {
+    json choice = {{"index", 0},
+                   {"delta", {{"content", text.Token(index)}}},
+                   {"finish_reason", nullptr}};
+    return Wrap({{"choices", json::array({std::move(choice)})}});
+  }
+  std::string LastEvent() const {
+    json choice = {{"index", 0},
+                   {"delta", json::object()},
+                   {"finish_reason", FinishReason()}};
+    return Wrap({{"choices", json::array({std::move(choice)})},
+                 {"usage", Usage()},
+                 {"engine_times", Times()}});
+  }
+
+ private:
+  std::string Wrap(json body) const {
+    body["id"] = text.Id();
+    body["object"] = "chat.completion.chunk";
+    body["created"] = 0;
+    body["model"] = model;
+    return absl::StrCat("data: ", body.dump(), "\n\n");
+  }
+};
+
+ModelEngine::ModelEngine(ModelEngineOptions options)
+    : StandinListener(FaultsWhenOff()),
+      options_(std::move(options)),
+      slots_(options_.max_batch),
+      cache_(options_.cache_entries),
+      orders_(options_.models, options_.checks_fencing) {}
+
+ModelEngine::~ModelEngine() { StopListening(); }
+
+void ModelEngine::Answer(const httplib::Request& request,
+                         HttpExchange* exchange, httplib::Response* response) {
+  const std::string& path = exchange->path;
+  if (path == "/v1/chat/completions") {
+    AnswerChat(request, exchange, response);
+  } else if (absl::StartsWith(path, kRequestsPath)) {
+    Cancel(std::string(absl::StripPrefix(path, kRequestsPath)));
+    AnswerJson(200, json::object(), response);
+  } else if (path == "/v1/load") {
+    AnswerJson(200, reports_.Report(absl::Milliseconds(Fault("load_lag_ms"))),
+               response);
+  } else if (path == "/v1/state") {
+    AnswerJson(200, orders_.ToJson(), response);
+  } else if (path == "/v1/orders") {
+    json answer;
+    const int status =
+        orders_.Apply(json::parse(request.body, nullptr, false), &answer);
+    AnswerJson(status, answer, response);
+  } else if (path == "/v1/cache_events") {
+    std::uint64_t after = 0;
+    if (!absl::SimpleAtoi(request.get_param_value("after"), &after)) after = 0;
+    const absl::Duration lag = absl::Milliseconds(Fault("cache_event_lag_ms"));
+    AnswerJson(200, cache_.EventsAfter(after, lag), response);
+  } else {
+    AnswerJson(404, {{"error", "no such path"}}, response);
+  }
+}
+
+void ModelEngine::Cancel(const std::string& id) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const auto [begin, end] = running_.equal_range(id);
+  for (auto it = begin; it != end; ++it) it->second->store(true);
+}
+
+void ModelEngine::NoteLoad() {
+  reports_.Note(slots_.running(), slots_.waiting());
+}
+
+void ModelEngine::AnswerChat(const httplib::Request& request,
+                             HttpExchange* exchange,
+                             httplib::Response* response) {
+  LastReason reason;
+  const std::optional<ChatCall> call = ParseChatCall(request.body, &reason);
+  if (!call || !orders_.HasModel(call->model.value())) {
+    response->set_header(kNotRunHeader, "true");
+    const std::string detail = call ? "model not loaded" : reason.detail();
+    AnswerJson(call ? 404 : 400, {{"error", detail}}, response);
+    return;
+  }
+  if (Strikes("refusals")) {
+    response->set_header(kNotRunHeader, "true");
+    AnswerJson(503, {{"error", "refused"}}, response);
+    return;
+  }
+  Sequence sequence{.exchange = exchange};
+  sequence.text = EngineText(LastMessage(json::parse(request.body)));
+  sequence.model = call->model.value();
+  sequence.streamed = call->streamed;
+  sequence.arrived = SystemClock()->Now();
+  sequence.length = sequence.text.natural_length();
+  if (call->output_limit) {
+    sequence.length =
+        std::min<std::uint64_t>(sequence.length, *call->output_limit);
+  }
+  sequence.prompt_tokens =
+      static_cast<std::int64_t>(request.body.size()) / kBytesPerToken;
+  sequence.prefix = call->prefix_hash;
+  sequence.resume_offset =
+      request.get_header_value<std::uint64_t>(kResumeOffsetHeader);
+  const auto rank = request.get_header_value<std::uint64_t>(kPriorityHeader);
+  sequence.priority =
+      static_cast<Priority>(std::min<std::uint64_t>(rank, kPriorityCount - 1));
+  const std::string id = request.get_header_value(kRequestIdHeader);
+  auto entry = running_.end();
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    entry = running_.emplace(id, sequence.cancelled);
+  }
+  Generate(&sequence, response);
+  std::lock_guard<std::mutex> lock(mutex_);
+  running_.erase(entry);
+}
+
+void ModelEngine::Generate(Sequence* sequence, httplib::Response* response) {
+  NoteLoad();
+  if (!slots_.Enter(sequence->priority, [&] { return sequence->Gone(); })) {
+    DropReply(sequence->exchange);
+    return;
+  }
+  NoteLoad();
+  ++started_;
+  const bool cached =
+      cache_.Use(sequence->prefix, Fault("cache_events_drop_every"));
+  if (!cached) {
+    SystemClock()->Sleep(options_.prefill_per_thousand *
+                         sequence->prompt_tokens / 1000);
+  }
+  Delay("slow_ms");
+  sequence->generation_start = SystemClock()->Now();
+  sequence->first_token = sequence->generation_start;
+  if (Strikes("errors")) {
+    AnswerJson(500, {{"error", "failed"}}, response);
+  } else if (sequence->streamed) {
+    Stream(sequence);
+  } else {
+    AnswerWhole(sequence, response);
+  }
+  if (sequence->cancelled->load()) ++cancelled_;
+  slots_.Leave();
+  NoteLoad();
+}
+
+bool ModelEngine::WaitForToken(Sequence* sequence, std::uint64_t index) const {
+  const absl::Time due = sequence->generation_start +
+                         options_.token_interval * static_cast<double>(index);
+  const absl::Duration wait = due - SystemClock()->Now();
+  if (wait > absl::ZeroDuration()) SystemClock()->Sleep(wait);
+  return !sequence->cancelled->load();
+}
+
+void ModelEngine::AnswerWhole(Sequence* sequence, httplib::Response* response) {
+  for (std::uint64_t i = 1; i <= sequence->length; ++i) {
+    if (WaitForToken(sequence, i) && !sequence->Gone()) continue;
+    DropReply(sequence->exchange);
+    return;
+  }
+  const json message = {{"role", "assistant"},
+                        {"content", sequence->text.Prefix(sequence->length)}};
+  const json choice = {{"index", 0},
+                       {"message", message},
+                       {"finish_reason", sequence->FinishReason()}};
+  AnswerJson(200,
+             {{"id", sequence->text.Id()},
+              {"object", "chat.completion"},
+              {"created", 0},
+              {"model", sequence->model},
+              {"choices", json::array({choice})},
+              {"usage", sequence->Usage()},
+              {"engine_times", sequence->Times()}},
+             response);
+  if (!Strikes("cuts_before_end")) return;
+  // The head promises one byte more than is sent.
+  httplib::Headers headers = response->headers;
+  headers.emplace("Content-Length", absl::StrCat(response->body.size()));
+  std::string bytes = absl::StrCat(SerializeHead(200, headers), response->body);
+  bytes.pop_back();
+  sequence->exchange->stream->WriteAll(bytes.data(), bytes.size());
+  DropReply(sequence->exchange);
+}
+
+bool ModelEngine::Send(Sequence* sequence, const std::string& event) const {
+  const std::string chunk =
+      absl::StrCat(absl::Hex(event.size()), "\r\n", event, "\r\n");
+  return sequence->exchange->stream->WriteAll(chunk.data(), chunk.size());
+}
+
+void ModelEngine::Stream(Sequence* sequence) {
+  HttpExchange* exchange = sequence->exchange;
+  exchange->answered = true;
+  const std::string head =
+      SerializeHead(200, {{"Content-Type", "text/event-stream"},
+                          {"Transfer-Encoding", "chunked"},
+                          {"Cache-Control", "no-cache"}});
+  const bool whole = exchange->stream->WriteAll(head.data(), head.size()) &&
+                     StreamEvents(sequence);
+  if (!whole ||
+      !exchange->stream->WriteAll(kLastChunk.data(), kLastChunk.size())) {
+    exchange->close = true;
+  }
+}
+
+bool ModelEngine::StreamEvents(Sequence* sequence) {
+  const bool silent = Strikes("silences");
+  const bool cut = !silent && Strikes("cuts");
+  const bool garbled = !silent && !cut && Strikes("garbles");
+  const auto silent_after =
+      static_cast<std::uint64_t>(Fault("silent_after_events"));
+  const auto cut_after = static_cast<std::uint64_t>(Fault("cut_after_events"));
+  for (std::uint64_t i = sequence->resume_offset; i <= sequence->length; ++i) {
+    const std::uint64_t sent = i - sequence->resume_offset;
+    if (silent && sent == silent_after) {
+      while (!sequence->Gone()) SystemClock()->Sleep(kGonePoll);
+      return false;
+    }
+    if (cut && sent == cut_after) return false;
+    if (garbled && sent == 1) {
+      sequence->exchange->stream->WriteAll(kGarbage.data(), kGarbage.size());
+      return false;
+    }
+    if (!WaitForToken(sequence, sent)) return false;
+    const bool last = i == sequence->length;
+    if (!Send(sequence, last ? sequence->LastEvent() : sequence->Event(i))) {
+      return false;
+    }
+  }
+  std::string end(kEndMarker);
+  if (Strikes("cuts_before_end")) {
+    end.pop_back();
+    Send(sequence, end);
+    return false;
+  }
+  if (!Send(sequence, end)) return false;
+  if (Strikes("duplicates")) Send(sequence, sequence->LastEvent());
+  return true;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/standin/plain_service.h
@@ -0,0 +1,39 @@
+#ifndef WISTERIAREEL_STANDIN_PLAIN_SERVICE_H_
+#define WISTERIAREEL_STANDIN_PLAIN_SERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "standin/standin_listener.h"
+
+namespace wisteriareel {
+
+// A plain service behind HTTP. Every call to any path but /faults and
+// /executions executes and is counted under its Idempotency-Key, or under its
+// X-Request-Id if it has none. It answers with the serial number of the
+// execution. GET /executions shows the counts. Thread-safe.
+class PlainService final : public StandinListener {
+ public:
+  PlainService();
+  ~PlainService() override;
+
+  // Returns how often calls under `key` were executed.
+  std::uint64_t Executions(const std::string& key) const;
+  // Returns how many calls were executed.
+  std::uint64_t executions() const;
+
+ private:
+  void Answer(const httplib::Request& request, HttpExchange* exchange,
+              httplib::Response* response) override;
+  std::uint64_t Execute(const std::string& key);
+
+  mutable std::mutex mutex_;
+  std::uint64_t executed_ = 0;
+  std::map<std::string, std::uint64_t> by_key_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_STANDIN_PLAIN_SERVICE_H_
--- /dev/null
+++ b/standin/platform_standin.cc
@@ -0,0 +1,272 @@
+#include "standin/platform_standin.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "src/platform/platform_codec.h"
+#include "wisteriareel/clock.h"
+
+namespace wisteriareel {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMaxRowsPerScan = 10'000;
+constexpr std::size_t kListVersionsKept = 256;
+
+json FaultsWhenOff() {
+  return {
+      // Refuses every call before it is tried.
+      {"table_outage", 0},
+      // Added to every call of the table, in milliseconds.
+      {"table_slow_ms", 0},
+      // Commits the next ones and closes the connection without a reply.
+      {"table_lose_replies", 0},
+      // Drops the next commits unread.
+      {"table_lose_requests", 0},
+      // Scans show the state of so many commits ago.
+      {"table_scan_lag_commits", 0},
+      // Calls a second, beyond which they are refused. Zero is no cap.
+      {"table_writes_per_second", 0},
+      {"table_reads_per_second", 0},
+      {"objects_outage", 0},
+      {"objects_slow_ms", 0},
+      {"objects_lose_replies", 0},
+      {"instances_outage", 0},
+      // How far the list lags behind the truth.
+      {"instances_lag_ms", 0},
+  };
+}
+
+int StatusFor(CommitOutcome outcome) {
+  if (outcome == CommitOutcome::kRejected) return 503;
+  return outcome == CommitOutcome::kConflict ? 409 : 200;
+}
+
+void AnswerOutcome(int status, CommitOutcome outcome, HttpExchange* exchange,
+                   httplib::Response* response) {
+  if (outcome == CommitOutcome::kUnknown) {
+    DropReply(exchange);
+    return;
+  }
+  response->status = status;
+  response->set_content(EncodeOutcome(outcome), "application/json");
+}
+
+void AnswerRows(const std::optional<std::vector<Row>>& rows,
+                httplib::Response* response) {
+  if (!rows) {
+    AnswerJson(503, {{"error", "outage"}}, response);
+    return;
+  }
+  response->set_content(EncodeRows(*rows).value_or("{}"), "application/json");
+}
+
+std::string HexParam(const httplib::Request& request, const char* name) {
+  const std::string hex = request.get_param_value(name);
+  const bool valid =
+      hex.size() % 2 == 0 &&
+      hex.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+  return valid ? absl::HexStringToBytes(hex) : "";
+}
+
+}  // namespace
+
+bool RateCap::Take(std::int64_t calls_per_second) {
+  if (calls_per_second <= 0) return true;
+  std::lock_guard<std::mutex> lock(mutex_);
+  const absl::Time now = SystemClock()->Now();
+  if (now - second_start_ >= absl::Seconds(1)) {
+    second_start_ = now;
+    taken_ = 0;
+  }
+  if (taken_ >= calls_per_second) return false;
+  ++taken_;
+  return true;
+}
+
+PlatformStandin::PlatformStandin() : StandinListener(FaultsWhenOff()) {
+  list_.push_back({absl::InfinitePast(), {}});
+}
+
+PlatformStandin::~PlatformStandin() { StopListening(); }
+
+void PlatformStandin::OnFaults(const json& faults) {
+  table_.SetFaults(
+      {.outage = faults.at("table_outage").get<int>() != 0,
+       .lose_replies = faults.at("table_lose_replies").get<int>(),
+       .lose_requests = faults.at("table_lose_requests").get<int>(),
+       .scan_lag_commits = faults.at("table_scan_lag_commits").get<int>()});
+  objects_.SetFaults(
+      {.outage = faults.at("objects_outage").get<int>() != 0,
+       .lose_replies = faults.at("objects_lose_replies").get<int>()});
+}
+
+void PlatformStandin::Answer(const httplib::Request& request,
+                             HttpExchange* exchange,
+                             httplib::Response* response) {
+  const std::string& path = exchange->path;
+  if (absl::StartsWith(path, "/table/")) {
+    AnswerTable(request, exchange, response);
+  } else if (absl::StartsWith(path, "/objects")) {
+    AnswerObjects(request, exchange, response);
+  } else if (path == "/instances") {
+    AnswerInstances(request, response);
+  } else if (path == "/stats") {
+    AnswerJson(200, {{"commits", table_.commits()}, {"reads", table_.reads()}},
+               response);
+  } else {
+    AnswerJson(404, {{"error", "no such path"}}, response);
+  }
+}
+
+void PlatformStandin::AnswerTable(const httplib::Request& request,
+                                  HttpExchange* exchange,
+                                  httplib::Response* response) {
+  Delay("table_slow_ms");
+  if (exchange->path == "/table/commit") {
+    AnswerCommit(request, exchange, response);
+    return;
+  }
+  if (!table_reads_.Take(Fault("table_reads_per_second"))) {
+    AnswerJson(429, {{"error", "too many reads"}}, response);
+    return;
+  }
+  LastReason reason;
+  if (exchange->path == "/table/read") {
+    const auto keys = DecodeKeys(request.body);
+    if (keys) {
+      AnswerRows(table_.Read(*keys, absl::ZeroDuration(), &reason), response);
+      return;
+    }
+  }
+  if (exchange->path == "/table/scan") {
+    const auto call = DecodeScan(request.body);
+    if (call) {
+      const int limit = std::min(call->limit, kMaxRowsPerScan);
+      AnswerRows(table_.Scan(call->table, call->after, limit,
+                             absl::ZeroDuration(), &reason),
+                 response);
+      return;
+    }
+  }
+  AnswerJson(400, {{"error", "bad call"}}, response);
+}
+
+void PlatformStandin::AnswerCommit(const httplib::Request& request,
+                                   HttpExchange* exchange,
+                                   httplib::Response* response) {
+  const auto transaction = DecodeTransaction(request.body);
+  if (!transaction) {
+    AnswerOutcome(400, CommitOutcome::kRejected, exchange, response);
+    return;
+  }
+  if (!table_writes_.Take(Fault("table_writes_per_second"))) {
+    AnswerOutcome(429, CommitOutcome::kRejected, exchange, response);
+    return;
+  }
+  const CommitOutcome outcome =
+      table_.Commit(*transaction, absl::ZeroDuration());
+  AnswerOutcome(StatusFor(outcome), outcome, exchange, response);
+}
+
+void PlatformStandin::AnswerObjects(const httplib::Request& request,
+                                    HttpExchange* exchange,
+                                    httplib::Response* response) {
+  Delay("objects_slow_ms");
+  LastReason reason;
+  if (exchange->path == "/objects/list") {
+    int limit = 0;
+    if (!absl::SimpleAtoi(request.get_param_value("limit"), &limit)) {
+      AnswerJson(400, {{"error", "limit: expected a number"}}, response);
+      return;
+    }
+    const auto names =
+        objects_.List(HexParam(request, "prefix"), HexParam(request, "after"),
+                      limit, absl::ZeroDuration(), &reason);
+    if (!names) {
+      AnswerJson(503, {{"error", "outage"}}, response);
+      return;
+    }
+    response->set_content(EncodeNames(*names), "application/json");
+    return;
+  }
+  const std::string name = HexParam(request, "name");
+  if (request.method == "PUT") {
+    const CommitOutcome outcome =
+        objects_.Put(name, request.body, absl::ZeroDuration());
+    AnswerOutcome(StatusFor(outcome), outcome, exchange, response);
+    return;
+  }
+  const auto bytes = objects_.Get(name, absl::ZeroDuration(), &reason);
+  if (!bytes) {
+    const int status = reason.reason() == Reason::kNotFound ? 404 : 503;
+    AnswerJson(status, {{"error", reason.detail()}}, response);
+    return;
+  }
+  response->set_content(*bytes, "application/octet-stream");
+}
+
+void PlatformStandin::AnswerInstances(const httplib::Request& request,
+                                      httplib::Response* response) {
+  if (Fault("instances_outage") != 0) {
+    AnswerJson(503, {{"error", "outage"}}, response);
+    return;
+  }
+  if (request.method == "DELETE") {
+    RemoveInstance(request.get_param_value("id"));
+  } else if (request.method != "GET") {
+    const auto instances = DecodeInstances(request.body);
+    if (!instances) {
+      AnswerJson(400, {{"error", "expected instances"}}, response);
+      return;
+    }
+    if (request.method == "PUT") {
+      ChangeInstances([&](auto* list) { *list = *instances; });
+    } else {
+      for (const ListedInstance& instance : *instances) {
+        UpsertInstance(instance);
+      }
+    }
+  }
+  response->set_content(EncodeInstances(LaggedInstances()), "application/json");
+}
+
+std::vector<ListedInstance> PlatformStandin::LaggedInstances() {
+  const absl::Duration lag = absl::Milliseconds(Fault("instances_lag_ms"));
+  const absl::Time shown = SystemClock()->Now() - lag;
+  std::lock_guard<std::mutex> lock(list_mutex_);
+  const ListVersion* newest = &list_.front();
+  for (const ListVersion& entry : list_) {
+    if (entry.since <= shown) newest = &entry;
+  }
+  return newest->instances;
+}
+
+void PlatformStandin::ChangeInstances(
+    const std::function<void(std::vector<ListedInstance>*)>& change) {
+  std::lock_guard<std::mutex> lock(list_mutex_);
+  std::vector<ListedInstance> next = list_.back().instances;
+  change(&next);
+  list_.push_back({SystemClock()->Now(), std::move(next)});
+  if (list_.size() > kListVersionsKept) list_.pop_front();
+}
+
+void PlatformStandin::UpsertInstance(const ListedInstance& instance) {
+  ChangeInstances([&](std::vector<ListedInstance>* list) {
+    std::erase_if(*list, [&](const auto& it) { return it.id == instance.id; });
+    list->push_back(instance);
+  });
+}
+
+void PlatformStandin::RemoveInstance(const std::string& id) {
+  ChangeInstances([&](std::vector<ListedInstance>* list) {
+    std::erase_if(*list, [&](const auto& it) { return it.id == id; });
+  });
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/standin/platform_standin.h
@@ -0,0 +1,76 @@
+#ifndef WISTERIAREEL_STANDIN_PLATFORM_STANDIN_H_
+#define WISTERIAREEL_STANDIN_PLATFORM_STANDIN_H_
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "standin/fakes/memory_object_store.h"
+#include "standin/fakes/memory_table.h"
+#include "standin/standin_listener.h"
+#include "wisteriareel/instance_list.h"
+
+namespace wisteriareel {
+
+// Caps how many calls are taken in each second. Thread-safe.
+class RateCap {
+ public:
+  // Returns whether one more call fits into this second. Zero is no cap.
+  bool Take(std::int64_t calls_per_second);
+
+ private:
+  std::mutex mutex_;
+  absl::Time second_start_;
+  std::int64_t taken_ = 0;
+};
+
+// The platform behind HTTP: table, object store and instance list, each with
+// switchable faults. Keeps everything in memory. Thread-safe.
+class PlatformStandin final : public StandinListener {
+ public:
+  PlatformStandin();
+  ~PlatformStandin() override;
+
+  MemoryTable* table() { return &table_; }
+  MemoryObjectStore* objects() { return &objects_; }
+
+  // Adds an instance to the list, or replaces it. Shown after the list's lag.
+  void UpsertInstance(const ListedInstance& instance);
+  void RemoveInstance(const std::string& id);
+
+ private:
+  struct ListVersion {
+    absl::Time since;
+    std::vector<ListedInstance> instances;
+  };
+
+  void Answer(const httplib::Request& request, HttpExchange* exchange,
+              httplib::Response* response) override;
+  void OnFaults(const nlohmann::json& faults) override;
+
+  void AnswerTable(const httplib::Request& request, HttpExchange* exchange,
+                   httplib::Response* response);
+  void AnswerCommit(const httplib::Request& request, HttpExchange* exchange,
+                    httplib::Response* response);
+  void AnswerObjects(const httplib::Request& request, HttpExchange* exchange,
+                     httplib::Response* response);
+  void AnswerInstances(const httplib::Request& request,
+                       httplib::Response* response);
+  std::vector<ListedInstance> LaggedInstances();
+  void ChangeInstances(
+      const std::function<void(std::vector<ListedInstance>*)>& change);
+
+  MemoryTable table_;
+  MemoryObjectStore objects_;
+  RateCap table_writes_;
+  RateCap table_reads_;
+  std::mutex list_mutex_;
+  // Oldest first; never empty.
+  std::deque<ListVersion> list_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_STANDIN_PLATFORM_STANDIN_H_
--- a/test/edge_tests.cmake
+++ b/test/edge_tests.cmake
@@ -0,0 +1,2 @@
+wisteriareel_test(http_sse_parser_test LIBRARIES wisteriareel_http rapidcheck)
+wisteriareel_test(platform_http_test THREADED LIBRARIES wisteriareel_standins)
--- /dev/null
+++ b/test/http_sse_parser_test.cc
@@ -0,0 +1,89 @@
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
+#include "src/http/sse_parser.h"
+
+namespace wisteriareel {
+namespace {
+
+using State = SseParser::State;
+
+class SseParserTest : public testing::Test {
+ protected:
+  // Feeds `text` cut at arbitrary places.
+  State FeedInPieces(const std::string& text) {
+    std::string_view rest = text;
+    while (!rest.empty()) {
+      const auto size = *rc::gen::inRange<std::size_t>(1, rest.size() + 1);
+      Feed(rest.substr(0, size));
+      rest.remove_prefix(size);
+    }
+    return parser_.state();
+  }
+
+  State Feed(std::string_view bytes) {
+    return parser_.Feed(bytes, [this](std::string_view event) {
+      events_.emplace_back(event);
+      return events_.size() < stop_after_;
+    });
+  }
+
+  SseParser parser_;
+  std::vector<std::string> events_;
+  std::size_t stop_after_ = SIZE_MAX;
+};
+
+// Returns lines of an event without line breaks of their own.
+rc::Gen<std::string> Line() {
+  return rc::gen::container<std::string>(
+      rc::gen::element('d', ':', ' ', '[', 'x', '\t', '{'));
+}
+
+RC_GTEST_FIXTURE_PROP(SseParserTest, PassesWholeEventsHoweverTheBytesAreSplit,
+                      ()) {
+  const auto lines = *rc::gen::container<std::vector<std::string>>(Line());
+  const std::string eol = *rc::gen::element<std::string>("\n", "\r\n");
+  std::string text;
+  std::vector<std::string> expected;
+  for (const std::string& line : lines) {
+    const std::string event = "data: " + line + eol + "id: 1" + eol + eol;
+    expected.push_back(event);
+    text += event + ": comment" + eol + eol;
+  }
+  const bool ended = *rc::gen::arbitrary<bool>();
+  if (ended) text += "data: [DONE]" + eol + eol;
+  const State state = FeedInPieces(text);
+  RC_ASSERT(events_ == expected);
+  RC_ASSERT(state == (ended ? State::kDone : State::kOpen));
+}
+
+RC_GTEST_FIXTURE_PROP(SseParserTest, IsNotDoneOneByteBeforeTheEnd, ()) {
+  std::string text = "data: a\n\ndata: [DONE]\n\n";
+  text.resize(*rc::gen::inRange<std::size_t>(1, text.size()));
+  RC_ASSERT(FeedInPieces(text) == State::kOpen);
+}
+
+TEST_F(SseParserTest, BreaksOnBytesAfterTheEndMarker) {
+  EXPECT_EQ(Feed("data: [DONE]\n\ndata: late\n\n"), State::kBroken);
+  EXPECT_TRUE(events_.empty());
+}
+
+TEST_F(SseParserTest, BreaksOnAnEndlessEvent) {
+  SseParser bounded(/*max_event_bytes=*/16);
+  const auto ignore = [](std::string_view) { return true; };
+  EXPECT_EQ(bounded.Feed("data: 0123456789", ignore), State::kOpen);
+  EXPECT_EQ(bounded.Feed("x", ignore), State::kBroken);
+}
+
+TEST_F(SseParserTest, StopsWhenTheReceiverWantsNoMore) {
+  stop_after_ = 1;
+  EXPECT_EQ(Feed("data: a\n\ndata: b\n\n"), State::kStopped);
+  EXPECT_EQ(events_.size(), 1u);
+}
+
+}  // namespace
+}  // namespace wisteriareel
