--- a/test/http_sse_parser_test.cc
+++ b/test/http_sse_parser_test.cc
@@ -3,6 +3,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "gtest/gtest.h"
 #include "rapidcheck/gtest.h"
 #include "src/http/sse_parser.h"
@@ -50,9 +51,10 @@
   std::string text;
   std::vector<std::string> expected;
   for (const std::string& line : lines) {
-    const std::string event = "data: " + line + eol + "id: 1" + eol + eol;
+    const std::string event =
+        absl::StrCat("data: ", line, eol, "id: 1", eol, eol);
     expected.push_back(event);
-    text += event + ": comment" + eol + eol;
+    absl::StrAppend(&text, event, ": comment", eol, eol);
   }
   const bool ended = *rc::gen::arbitrary<bool>();
   if (ended) text += "data: [DONE]" + eol + eol;
