--- /dev/null
+++ b/daemons/ctl/arguments.h
@@ -0,0 +1,56 @@
+#ifndef WISTERIAREEL_DAEMONS_CTL_ARGUMENTS_H_
+#define WISTERIAREEL_DAEMONS_CTL_ARGUMENTS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "docopt/docopt.h"
+
+namespace wisteriareel::ctl {
+
+// A value on the command line that doesn't fit.
+class UsageError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Typed access to a parsed command line. Immutable; throws UsageError for a
+// value that doesn't fit.
+class Arguments {
+ public:
+  explicit Arguments(std::map<std::string, docopt::value> values);
+
+  // Returns whether a command word or flag was given.
+  bool Has(const std::string& name) const;
+
+  // Returns the text of `name`, empty if it wasn't given.
+  std::string Text(const std::string& name) const;
+
+  // Returns the texts of an option that may be repeated.
+  std::vector<std::string> Texts(const std::string& name) const;
+
+  // Returns a whole number from `least` to `most`, or nullopt if it wasn't
+  // given.
+  std::optional<std::int64_t> Number(const std::string& name,
+                                     std::int64_t least,
+                                     std::int64_t most) const;
+
+  // Returns a duration such as "10s", or nullopt if it wasn't given.
+  std::optional<absl::Duration> Duration(const std::string& name) const;
+
+  // Returns a time: RFC 3339, or a duration for that long before `now`;
+  // nullopt if it wasn't given.
+  std::optional<absl::Time> Time(const std::string& name, absl::Time now) const;
+
+ private:
+  const std::map<std::string, docopt::value> values_;
+};
+
+}  // namespace wisteriareel::ctl
+
+#endif  // WISTERIAREEL_DAEMONS_CTL_ARGUMENTS_H_
--- /dev/null
+++ b/daemons/ctl/message_printer.cc
@@ -0,0 +1,197 @@
+#include "daemons/ctl/message_printer.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/time/time.h"
+#include "google/protobuf/descriptor.h"
+#include "google/protobuf/util/json_util.h"
+#include "src/rpc/proto_convert.h"
+
+namespace wisteriareel::ctl {
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::EnumValueDescriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+using google::protobuf::Reflection;
+
+using TableRow = std::vector<std::string>;
+
+constexpr char kColumnGap[] = "  ";
+
+// Returns "ran" for VERDICT_RAN of the enumeration Verdict.
+std::string ShortName(const EnumValueDescriptor& value) {
+  std::string prefix;
+  for (const char c : value.type()->name()) {
+    if (absl::ascii_isupper(static_cast<unsigned char>(c)) && !prefix.empty()) {
+      prefix += '_';
+    }
+    prefix += absl::ascii_toupper(static_cast<unsigned char>(c));
+  }
+  return absl::AsciiStrToLower(value.name().substr(prefix.size() + 1));
+}
+
+// Returns a message that reads as one value, such as a time, in one word.
+bool AsOneWord(const Message& message, std::string* out) {
+  if (const auto* time =
+          dynamic_cast<const google::protobuf::Timestamp*>(&message)) {
+    *out = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", FromProto(*time),
+                            absl::UTCTimeZone());
+    return true;
+  }
+  if (const auto* duration =
+          dynamic_cast<const google::protobuf::Duration*>(&message)) {
+    *out = absl::FormatDuration(
+        absl::Trunc(FromProto(*duration), absl::Milliseconds(1)));
+    return true;
+  }
+  return false;
+}
+
+// Texts come from operators and callers; control characters in them must not
+// reach the terminal.
+std::string Shown(const std::string& text) {
+  const bool plain = std::none_of(text.begin(), text.end(), [](char c) {
+    return absl::ascii_iscntrl(static_cast<unsigned char>(c));
+  });
+  return plain ? text : absl::CEscape(text);
+}
+
+// Returns one scalar, or element `n` of a repeated one.
+std::string Scalar(const Message& message, const FieldDescriptor* field,
+                   int n) {
+  const Reflection* it = message.GetReflection();
+  const bool many = field->is_repeated();
+  switch (field->cpp_type()) {
+    case FieldDescriptor::CPPTYPE_STRING:
+      return Shown(many ? it->GetRepeatedString(message, field, n)
+                        : it->GetString(message, field));
+    case FieldDescriptor::CPPTYPE_BOOL:
+      return it->GetBool(message, field) ? "yes" : "no";
+    case FieldDescriptor::CPPTYPE_ENUM:
+      return ShortName(*it->GetEnum(message, field));
+    case FieldDescriptor::CPPTYPE_INT64:
+      return absl::StrCat(it->GetInt64(message, field));
+    case FieldDescriptor::CPPTYPE_UINT64:
+      return absl::StrCat(it->GetUInt64(message, field));
+    case FieldDescriptor::CPPTYPE_UINT32:
+      return absl::StrCat(it->GetUInt32(message, field));
+    default:
+      return "?";
+  }
+}
+
+bool IsMessage(const FieldDescriptor* field) {
+  return field->cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE;
+}
+
+// Returns a field that fits into one cell.
+std::string Cell(const Message& message, const FieldDescriptor* field) {
+  const Reflection* it = message.GetReflection();
+  if (field->is_repeated()) {
+    std::vector<std::string> words;
+    const int size = IsMessage(field) ? 0 : it->FieldSize(message, field);
+    words.reserve(static_cast<std::size_t>(size));
+    for (int n = 0; n < size; ++n) words.push_back(Scalar(message, field, n));
+    return absl::StrJoin(words, ",");
+  }
+  if (!IsMessage(field)) return Scalar(message, field, 0);
+  if (!it->HasField(message, field)) return "-";
+  const Message& nested = it->GetMessage(message, field);
+  std::string word;
+  if (AsOneWord(nested, &word)) return word;
+  return nested.ShortDebugString();
+}
+
+std::string Lines(const std::vector<TableRow>& rows,
+                  const std::string& indent) {
+  std::vector<std::size_t> widths(rows.front().size(), 0);
+  for (const TableRow& row : rows) {
+    for (std::size_t n = 0; n < row.size(); ++n) {
+      widths[n] = std::max(widths[n], row[n].size());
+    }
+  }
+  std::string text;
+  for (const TableRow& row : rows) {
+    std::string line = indent;
+    for (std::size_t n = 0; n < row.size(); ++n) {
+      const std::string cell = row[n].empty() ? "-" : row[n];
+      line += cell;
+      line += std::string(widths[n] > cell.size() ? widths[n] - cell.size() : 0,
+                          ' ');
+      line += kColumnGap;
+    }
+    absl::StrAppend(&text, absl::StripTrailingAsciiWhitespace(line), "\n");
+  }
+  return text;
+}
+
+std::string Table(const Message& message, const FieldDescriptor* field,
+                  const std::string& indent) {
+  const Descriptor* type = field->message_type();
+  std::vector<TableRow> rows(1);
+  for (int n = 0; n < type->field_count(); ++n) {
+    rows[0].push_back(absl::AsciiStrToUpper(type->field(n)->name()));
+  }
+  const Reflection* it = message.GetReflection();
+  const int size = it->FieldSize(message, field);
+  for (int n = 0; n < size; ++n) {
+    const Message& line = it->GetRepeatedMessage(message, field, n);
+    TableRow& row = rows.emplace_back();
+    for (int i = 0; i < type->field_count(); ++i) {
+      row.push_back(Cell(line, type->field(i)));
+    }
+  }
+  return Lines(rows, indent);
+}
+
+std::string Block(const Message& message, const std::string& indent) {
+  const Descriptor* type = message.GetDescriptor();
+  const Reflection* it = message.GetReflection();
+  std::string text;
+  for (int n = 0; n < type->field_count(); ++n) {
+    const FieldDescriptor* field = type->field(n);
+    if (field->name() == "next_page_token") continue;
+    if (IsMessage(field) && field->is_repeated()) {
+      absl::StrAppend(&text, indent, field->name(), ":\n",
+                      Table(message, field, indent + kColumnGap));
+      continue;
+    }
+    std::string word;
+    const bool nested = IsMessage(field) && it->HasField(message, field) &&
+                        !AsOneWord(it->GetMessage(message, field), &word);
+    if (nested) {
+      absl::StrAppend(
+          &text, indent, field->name(), ":\n",
+          Block(it->GetMessage(message, field), indent + kColumnGap));
+      continue;
+    }
+    absl::StrAppend(&text, indent, field->name(), ": ", Cell(message, field),
+                    "\n");
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string ToJson(const Message& message) {
+  google::protobuf::util::JsonPrintOptions options;
+  options.add_whitespace = true;
+  options.always_print_primitive_fields = true;
+  options.preserve_proto_field_names = true;
+  std::string text;
+  const auto status =
+      google::protobuf::util::MessageToJsonString(message, &text, options);
+  return status.ok() ? text : message.ShortDebugString();
+}
+
+std::string ToTable(const Message& message) { return Block(message, ""); }
+
+}  // namespace wisteriareel::ctl
--- /dev/null
+++ b/daemons/ctl/session.cc
@@ -0,0 +1,37 @@
+#include "daemons/ctl/session.h"
+
+#include "daemons/ctl/message_printer.h"
+#include "src/rpc/proto_convert.h"
+
+namespace wisteriareel::ctl {
+
+ExitCode Session::AwaitRollout(std::uint64_t revision, absl::Duration timeout) {
+  v1::AwaitRolloutRequest request;
+  request.set_revision(revision);
+  *request.mutable_timeout() = ToProto(timeout);
+  v1::RolloutResponse response;
+  const grpc::Status status = client_->Call(&OperatorClient::Stub::AwaitRollout,
+                                            request, &response, timeout);
+  const ExitCode code = Print(status, response);
+  if (code != ExitCode::kDone || response.lines().empty()) return code;
+  *error_ << response.lines_size() << " instances lag behind revision "
+          << revision << "\n";
+  return ExitCode::kLagging;
+}
+
+ExitCode Session::Print(const grpc::Status& status,
+                        const google::protobuf::Message& answer) {
+  if (!status.ok()) {
+    *error_ << status.error_message() << "\n";
+    return ExitCodeOf(status);
+  }
+  *out_ << (arguments_->Has("--json") ? ToJson(answer) : ToTable(answer));
+  return ExitCode::kDone;
+}
+
+std::string Session::OrderId() const {
+  const std::string given = arguments_->Text("--order");
+  return given.empty() ? MakeSecret("order-") : given;
+}
+
+}  // namespace wisteriareel::ctl
--- /dev/null
+++ b/daemons/ctl/session.h
@@ -0,0 +1,113 @@
+#ifndef WISTERIAREEL_DAEMONS_CTL_SESSION_H_
+#define WISTERIAREEL_DAEMONS_CTL_SESSION_H_
+
+#include <cstdint>
+#include <iostream>
+#include <string>
+
+#include "absl/time/time.h"
+#include "daemons/ctl/arguments.h"
+#include "daemons/ctl/exit_code.h"
+#include "daemons/ctl/operator_client.h"
+#include "google/protobuf/message.h"
+#include "src/security/digest.h"
+
+namespace wisteriareel::ctl {
+
+// Entries that are asked for at once while a list is read to its end.
+inline constexpr std::uint32_t kListPageSize = 1000;
+// Longest wait for an accepted change to be in force everywhere.
+inline constexpr absl::Duration kRolloutWait = absl::Seconds(30);
+
+// One run of the client: makes calls and prints their answers as the command
+// line asks. Not thread-safe.
+class Session {
+ public:
+  // Nothing is owned; all must outlive the session.
+  Session(OperatorClient* client, const Arguments* arguments, std::ostream* out,
+          std::ostream* error)
+      : client_(client), arguments_(arguments), out_(out), error_(error) {}
+
+  const Arguments& arguments() const { return *arguments_; }
+
+  // Makes a call and prints its answer.
+  template <typename Method, typename Request, typename Response>
+  ExitCode Show(Method method, const Request& request, Response response) {
+    const grpc::Status status = client_->Call(method, request, &response);
+    return Print(status, response);
+  }
+
+  // Reads all pages of a list and prints them as one answer.
+  template <typename Method, typename Request, typename Response>
+  ExitCode List(Method method, Request request, Response all) {
+    request.set_page_size(kListPageSize);
+    grpc::Status status;
+    do {
+      Response page;
+      status = client_->Call(method, request, &page);
+      if (!status.ok()) break;
+      request.set_page_token(page.next_page_token());
+      all.MergeFrom(page);
+    } while (!request.page_token().empty());
+    all.clear_next_page_token();
+    return Print(status, all);
+  }
+
+  // Makes a change under the order id and the expected version of the
+  // command line, prints the answer, and waits for the roll-out if asked to.
+  template <typename Method, typename Request, typename Response>
+  ExitCode Change(Method method, Request request, Response response) {
+    request.set_order_id(OrderId());
+    SetExpectedVersion(&request);
+    const grpc::Status status = client_->Call(method, request, &response);
+    const ExitCode code = Print(status, response);
+    if (code == ExitCode::kUnavailable) {
+      *error_ << "the order may have been accepted; repeat it with --order="
+              << request.order_id() << "\n";
+    }
+    if (code != ExitCode::kDone || !arguments_->Has("--wait")) return code;
+    return AwaitRollout(RevisionOf(response), kRolloutWait);
+  }
+
+  // Waits until `revision` is in force everywhere and prints who lags.
+  ExitCode AwaitRollout(std::uint64_t revision, absl::Duration timeout);
+
+  // Prints an answer, or why there is none.
+  ExitCode Print(const grpc::Status& status,
+                 const google::protobuf::Message& answer);
+
+ private:
+  std::string OrderId() const;
+
+  template <typename Request>
+  void SetExpectedVersion(Request* request) {
+    const auto version = arguments_->Number("--expect", 0, INT64_MAX);
+    if (!version) return;
+    if constexpr (requires { request->set_expected_version(0); }) {
+      request->set_expected_version(static_cast<std::uint64_t>(*version));
+    } else {
+      throw UsageError("--expect: this command changes no existing entry");
+    }
+  }
+
+  // Returns the revision of a change; zero for one that is in force at once.
+  template <typename Response>
+  static std::uint64_t RevisionOf(const Response& response) {
+    if constexpr (requires { response.change(); }) {
+      return response.change().revision();
+    } else if constexpr (requires { response.revision(); }) {
+      return response.revision();
+    } else {
+      return 0;
+    }
+  }
+
+  OperatorClient* const client_;
+  const Arguments* const arguments_;
+  std::ostream* const out_;
+  std::ostream* const error_;
+};
+
+}  // namespace wisteriareel::ctl
+
+#endif  // WISTERIAREEL_DAEMONS_CTL_SESSION_H_
--- a/test/ops_tests.cmake
+++ b/test/ops_tests.cmake
@@ -2,3 +2,5 @@
 wisteriareel_test(observability_test THREADED LIBRARIES
   wisteriareel_observability)
 wisteriareel_test(security_test LIBRARIES wisteriareel_security rapidcheck)
+wisteriareel_test(rpc_operator_server_test LIBRARIES
+  wisteriareel_ctl wisteriareel_rpc wisteriareel_observability)
