--- a/src/budget/grant_keeper.cc
+++ b/src/budget/grant_keeper.cc
@@ -210,14 +210,21 @@
   return Current()->Close();
 }
 
+void GrantKeeper::AddBalance(const Holding& holding, const Account& account,
+                             KeeperBalance* balance) {
+  const Tokens available(account.available());
+  balance->available += available + Tokens(account.withheld);
+  if (holding.LeaseHolds()) balance->spendable += available;
+  balance->reserved += Tokens(account.reserved());
+  balance->unreported += Tokens(account.settled() - account.reported);
+}
+
 KeeperBalance GrantKeeper::Balance() {
   std::lock_guard<std::mutex> step_lock(step_mutex_);
   KeeperBalance balance;
   for (Holding* holding : AllHoldings()) {
     for (const Account* account : holding->accounts().All()) {
-      balance.available += Tokens(account->available() + account->withheld);
-      balance.reserved += Tokens(account->reserved());
-      balance.unreported += Tokens(account->settled() - account->reported);
+      AddBalance(*holding, *account, &balance);
     }
   }
   return balance;
@@ -228,10 +235,7 @@
   KeeperBalance balance;
   for (Holding* holding : AllHoldings()) {
     const Account* account = holding->accounts().Find(budget);
-    if (account == nullptr) continue;
-    balance.available += Tokens(account->available() + account->withheld);
-    balance.reserved += Tokens(account->reserved());
-    balance.unreported += Tokens(account->settled() - account->reported);
+    if (account != nullptr) AddBalance(*holding, *account, &balance);
   }
   return balance;
 }
--- a/src/budget/grant_keeper.h
+++ b/src/budget/grant_keeper.h
@@ -28,6 +28,8 @@
 struct KeeperBalance {
   // Unreserved and not returned.
   Tokens available;
+  // The part of it that may be reserved now, the lease holding.
+  Tokens spendable;
   // Taken by requests that have not ended.
   Tokens reserved;
   // Charged, and not yet reported to the table as settled.
@@ -98,6 +100,8 @@
                                           std::int64_t amount, absl::Time until,
                                           Reason refusal, LastReason* reason);
   void Wake();
+  static void AddBalance(const Holding& holding, const Account& account,
+                         KeeperBalance* balance);
 
   const GrantKeeperOptions options_;
   const GrantKeeperParts parts_;
--- a/src/budget/holding.cc
+++ b/src/budget/holding.cc
@@ -149,6 +149,10 @@
     return HoldingStep{.platform_reached = false};
   }
 
+  if (row_made_ && row_version_ == 0) {
+    NoteRemoved();
+    return HoldingStep{};
+  }
   HoldingStep step{.more = selection.more};
   PendingOrder order{.row = row_, .first_sent = now};
   for (std::size_t i = 0; i < selection.accounts.size(); ++i) {
@@ -356,6 +360,26 @@
   return HoldingStep{.platform_reached = false};
 }
 
+// The rows of a reclaimed holder are removed only once every token of it is
+// returned or recorded, so nothing is left to report.
+void Holding::NoteRemoved() {
+  for (Account* account : accounts_.All()) {
+    account->reported = account->granted - account->returned;
+  }
+}
+
+// The row of a holder is removed only once all its grants are accounted for.
+// So an order that granted anything did not take effect, and one that only
+// returned or reported did.
+void Holding::SettleDoubtByAbsence() {
+  for (const AccountChange& change : pending_->changes) {
+    if (change.grant == 0) continue;
+    Drop();
+    return;
+  }
+  Confirm();
+}
+
 // A transaction in doubt took effect if the holder's row names its order.
 // Else it is sent again as it is: its conditions let it through once only. A
 // conflict without the order's name proves that no copy of it can take effect
@@ -368,11 +392,17 @@
     Confirm();
     return HoldingStep{};
   }
+  if (row_version_ == 0 && row_made_) {
+    SettleDoubtByAbsence();
+    return HoldingStep{};
+  }
   const HoldingStep step = Send();
   if (!pending_ || !step.more) return step;
   if (!ReadHolderRow(&reason)) return HoldingStep{.platform_reached = false};
   if (row_version_ != 0 && row_.last_order == order) {
     Confirm();
+  } else if (row_version_ == 0 && row_made_) {
+    SettleDoubtByAbsence();
   } else {
     Drop();
   }
--- a/src/budget/holding.h
+++ b/src/budget/holding.h
@@ -118,6 +118,8 @@
                           PendingOrder* order);
   HoldingStep Send();
   HoldingStep SettleDoubt();
+  void NoteRemoved();
+  void SettleDoubtByAbsence();
   void Confirm();
   void Drop();
   void Refuse(const Selection& selection, Reason reason);
