Pause a reservation between its lease check and its use

Cause: dropping the second look at the lease was caught by no test, because the test's clock paused before it told the time. Change: it pauses after.

--- a/test/budget_fleet.cc
+++ b/test/budget_fleet.cc
@@ -124,7 +124,8 @@
                &reason);
 }
 
-bool BudgetFleet::Request(int instance, int budget, std::int64_t worst_case) {
+bool BudgetFleet::Request(int instance, int budget, std::int64_t worst_case,
+                          bool paused_late) {
   BudgetInstance& at = instances_[static_cast<std::size_t>(instance)];
   if (!at.process) {
     at.clock->DropPause();
@@ -137,7 +138,9 @@
   at.clock->DropPause();
   if (!reservation) return false;
   at.process->open.push_back(*reservation);
-  if (violation_.empty()) violation_ = CheckReservation(instance, *reservation);
+  if (violation_.empty() && !paused_late) {
+    violation_ = CheckReservation(instance, *reservation);
+  }
   return true;
 }
 
--- a/test/budget_fleet.h
+++ b/test/budget_fleet.h
@@ -31,14 +31,15 @@
       : base_(base), start_(base->Now()), offset_(offset), rate_(rate) {}
 
   absl::Time Now() const override {
+    const absl::Time now = start_ + offset_ + (base_->Now() - start_) * rate_;
     if (readings_left_ >= 0 && readings_left_-- == 0) pause_();
-    return start_ + offset_ + (base_->Now() - start_) * rate_;
+    return now;
   }
 
   void Sleep(absl::Duration) override {}
 
-  // Has `pause` called within the reading after the next `readings` ones, as
-  // if the thread had been stopped there.
+  // Has `pause` called right after the reading that follows the next
+  // `readings` ones, as if the thread had been stopped there.
   void PauseAfter(int readings, std::function<void()> pause) {
     readings_left_ = readings;
     pause_ = std::move(pause);
@@ -136,8 +137,10 @@
   BudgetId budget(int n) const;
 
   void TopUp(int budget, std::int64_t amount, int lost_replies);
-  // Returns true if the request was admitted.
-  bool Request(int instance, int budget, std::int64_t worst_case);
+  // Returns true if the request was admitted. `paused_late` says that the
+  // thread is stopped after its tokens are safely taken.
+  bool Request(int instance, int budget, std::int64_t worst_case,
+               bool paused_late = false);
   // Ends the open request `n` of the instance with `billed`, or releases it.
   void Finish(int instance, std::size_t n, std::int64_t billed, bool release);
   // Stops the process at once. What its open requests reserved counts as
--- a/test/budget_ledger_test.cc
+++ b/test/budget_ledger_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <ostream>
 #include <vector>
@@ -102,7 +103,8 @@
         if (at.process) at.process->journal.Step();
         return;
       case Act::kTopUp:
-        fleet.TopUp(event.budget, 3 * event.amount, event.amount % 3);
+        fleet.TopUp(event.budget, std::int64_t{3} * event.amount,
+                    event.amount % 3);
         return;
       case Act::kAdvance:
         fleet.clock().Advance(kAdvances[n % 4]);
@@ -143,14 +145,16 @@
     }
   }
 
-  // Stops the instance between two readings of its clock within one
-  // reservation, while another instance reclaims.
+  // Stops the instance after its first or second reading of the clock within
+  // one reservation, while another instance reclaims.
   void PauseInReserve(BudgetFleet& fleet, const Event& event) {
     const int other = (event.instance + 1) % fleet.size();
-    fleet.instance(event.instance)
-        .clock->PauseAfter(1 + event.amount % 2,
-                           [&fleet, other] { fleet.ReclaimAll(other); });
-    fleet.Request(event.instance, event.budget, 1 + event.amount / 8);
+    const int readings = event.amount % 2;
+    fleet.instance(event.instance).clock->PauseAfter(readings, [&fleet, other] {
+      fleet.ReclaimAll(other);
+    });
+    fleet.Request(event.instance, event.budget, 1 + event.amount / 8,
+                  /*paused_late=*/readings == 1);
   }
 
   const std::unique_ptr<SizingPolicy> policy_ = MakeHorizonSizing({});
