Compose the parts into a daemon

Cause: the parts of an instance stood side by side and nothing ran them. Change: src/app composes them in three planes (control, budgets, requests), each owning its loops; wisteriareeld reads the settings, serves, and shuts down in order: not ready, requests, claims, records, grants. BackgroundLoop can be started after it was handed out, so that wake functions are safe. The HTTP server uses the project's one digest module in place of its own copy. Conclusion: connections between instances are still to be wired in.

--- /dev/null
+++ b/daemons/wisteriareeld.cc
@@ -0,0 +1,116 @@
+#include <docopt/docopt.h>
+#include <pthread.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <map>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/app/daemon.h"
+#include "src/observability/log4cxx_event_log.h"
+#include "src/settings/settings.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr char kUsage[] =
+    R"(wisteriareeld: one instance of the wisteriareel router fleet.
+
+Runs until SIGTERM or SIGINT, or an operator's drain order, and then shuts
+down gracefully.
+
+Usage:
+  wisteriareeld --settings=FILE [--check-settings]
+  wisteriareeld (-h | --help)
+  wisteriareeld --version
+
+Options:
+  --settings=FILE   Settings in JSON with comments; see docs/SETTINGS.md.
+  --check-settings  Check the settings, list every problem, and exit.
+  -h --help         Show this.
+  --version         Show the version.
+
+Exit codes: 0 clean shutdown, 1 can't listen, 2 bad command line, 3 wrong
+settings, 4 shut down with something left behind (see the last log line).
+)";
+
+constexpr int kExitClean = 0;
+constexpr int kExitCannotListen = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+constexpr int kExitLeftBehind = 4;
+
+using Arguments = std::map<std::string, docopt::value>;
+
+// Blocks the ending signals in all threads that start later, so that only
+// sigwait sees them.
+sigset_t BlockEndingSignals() {
+  sigset_t ending;
+  sigemptyset(&ending);
+  sigaddset(&ending, SIGTERM);
+  sigaddset(&ending, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &ending, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return ending;
+}
+
+std::optional<Settings> ReadSettings(const std::string& path) {
+  std::vector<SettingsProblem> problems;
+  auto settings = LoadSettings(path, &problems);
+  std::fputs(FormatProblems(problems).c_str(), stderr);
+  return settings;
+}
+
+int Serve(Settings settings, const sigset_t& ending) {
+  Log4cxxEventLog events({.least = settings.log.least});
+  Daemon daemon(std::move(settings), &events);
+  LastReason reason;
+  if (!daemon.Start(&reason)) {
+    std::fprintf(stderr, "can't start: %s\n", reason.detail().c_str());
+    return kExitCannotListen;
+  }
+  std::thread waiter([&daemon, ending] {
+    int signal = 0;
+    sigwait(&ending, &signal);
+    daemon.RequestDrain();
+  });
+  daemon.AwaitDrainRequest();
+  const ShutdownReport report = daemon.Shutdown();
+  // Ends the waiter if an operator's order came before any signal.
+  pthread_kill(waiter.native_handle(), SIGTERM);
+  waiter.join();
+  return report.clean() ? kExitClean : kExitLeftBehind;
+}
+
+int Run(int argc, char** argv) {
+  const sigset_t ending = BlockEndingSignals();
+  Arguments arguments;
+  try {
+    arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc});
+  } catch (const docopt::DocoptExitHelp&) {
+    std::fputs(kUsage, stdout);
+    return kExitClean;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::puts("wisteriareeld " WISTERIAREEL_VERSION);
+    return kExitClean;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\nsee --help\n", error.what());
+    return kExitUsage;
+  }
+  auto settings = ReadSettings(arguments.at("--settings").asString());
+  if (!settings) return kExitSettings;
+  if (arguments.at("--check-settings").asBool()) {
+    std::puts("settings: no problem found");
+    return kExitClean;
+  }
+  return Serve(std::move(*settings), ending);
+}
+
+}  // namespace
+}  // namespace wisteriareel
+
+int main(int argc, char** argv) { return wisteriareel::Run(argc, argv); }
--- a/include/wisteriareel/background_loop.h
+++ b/include/wisteriareel/background_loop.h
@@ -11,11 +11,17 @@
 namespace wisteriareel {
 
 // Runs a step again and again on a thread of its own. The step returns how
-// long to wait before the next one. Owns its thread; thread-safe.
+// long to wait before the next one. Owns its thread; thread-safe but for
+// Start.
 class BackgroundLoop {
  public:
-  // Starts the thread. `step` must not call Stop or destroy the loop.
-  explicit BackgroundLoop(std::function<absl::Duration()> step);
+  using Step = std::function<absl::Duration()>;
+
+  // Makes a loop that stands still until Start.
+  BackgroundLoop() = default;
+
+  // Makes a loop and starts it.
+  explicit BackgroundLoop(Step step);
 
   // Stops the loop.
   ~BackgroundLoop();
@@ -23,6 +29,10 @@
   BackgroundLoop(const BackgroundLoop&) = delete;
   BackgroundLoop& operator=(const BackgroundLoop&) = delete;
 
+  // Starts the thread; to be called once. `step` must not call Stop or destroy
+  // the loop.
+  void Start(Step step);
+
   // Runs the next step at once, or right after the one that is running.
   void Wake();
 
@@ -32,7 +42,7 @@
  private:
   void Run();
 
-  const std::function<absl::Duration()> step_;
+  Step step_;
   // Not absl::Mutex: ThreadSanitizer can't see into Debian's build of it.
   std::mutex mutex_;
   std::condition_variable changed_;
--- /dev/null
+++ b/src/app/budget_plane.h
@@ -0,0 +1,71 @@
+#ifndef WISTERIAREEL_SRC_APP_BUDGET_PLANE_H_
+#define WISTERIAREEL_SRC_APP_BUDGET_PLANE_H_
+
+#include <cstddef>
+#include <memory>
+
+#include "absl/time/time.h"
+#include "src/app/shared_parts.h"
+#include "src/budget/grant_keeper.h"
+#include "src/budget/grant_reclaimer.h"
+#include "src/budget/journal_writer.h"
+#include "src/budget/store_record_reader.h"
+#include "src/budget/table_budget_admin.h"
+#include "src/settings/settings.h"
+#include "wisteriareel/background_loop.h"
+#include "wisteriareel/budget_sizing.h"
+#include "wisteriareel/membership_view.h"
+
+namespace wisteriareel {
+
+// What a shutdown could not hand back.
+struct BudgetDrainReport {
+  bool grants_returned = false;
+  std::size_t records_left = 0;
+
+  friend bool operator==(const BudgetDrainReport&,
+                         const BudgetDrainReport&) = default;
+};
+
+// The parts of a daemon that hold grants and keep records. Owns their loops.
+// Thread-safe but for Start, Drain and Stop.
+class BudgetPlane {
+ public:
+  // The arguments must outlive the object.
+  BudgetPlane(const Settings& settings, const SharedParts& parts,
+              const MembershipView* membership);
+
+  void Start();
+
+  // Flushes records and returns grants until all is done or `deadline` has
+  // passed. No request may be in flight.
+  BudgetDrainReport Drain(absl::Time deadline);
+
+  // Stops the loops. Idempotent.
+  void Stop();
+
+  GrantKeeper* keeper() { return &keeper_; }
+  JournalWriter* journal() { return &journal_; }
+  const JournalWriter& journal() const { return journal_; }
+  RecordReader* reader() { return &reader_; }
+  BudgetAdmin* admin() { return &admin_; }
+  GrantReclaimer* reclaimer() { return &reclaimer_; }
+
+ private:
+  absl::Duration GrantStep();
+
+  const SharedParts& parts_;
+  const MembershipView* const membership_;
+  const std::unique_ptr<SizingPolicy> policy_;
+  JournalWriter journal_;
+  GrantKeeper keeper_;
+  GrantReclaimer reclaimer_;
+  StoreRecordReader reader_;
+  TableBudgetAdmin admin_;
+  BackgroundLoop journal_loop_;
+  BackgroundLoop grant_loop_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_APP_BUDGET_PLANE_H_
--- /dev/null
+++ b/src/app/control_plane.h
@@ -0,0 +1,53 @@
+#ifndef WISTERIAREEL_SRC_APP_CONTROL_PLANE_H_
+#define WISTERIAREEL_SRC_APP_CONTROL_PLANE_H_
+
+#include "src/app/shared_parts.h"
+#include "src/settings/settings.h"
+#include "wisteriareel/background_loop.h"
+#include "wisteriareel/config_follower.h"
+#include "wisteriareel/config_published.h"
+#include "wisteriareel/config_table_store.h"
+#include "wisteriareel/membership.h"
+#include "wisteriareel/peer_dispatcher.h"
+
+namespace wisteriareel {
+
+// The parts of a daemon that follow the configuration and know the other
+// instances. Owns their loops. Thread-safe but for Start and Stop.
+class ControlPlane {
+ public:
+  // `parts` and `settings` must outlive the control plane. Registers with
+  // `dispatcher` what it wants to hear.
+  ControlPlane(const Settings& settings, const SharedParts& parts,
+               PeerDispatcher* dispatcher);
+
+  // Starts following.
+  void Start();
+
+  // Stops the loops; nothing is followed any more. Idempotent.
+  void Stop();
+
+  // Returns true once this instance has read a configuration.
+  bool Loaded() const;
+
+  PublishedConfig* config() { return &config_; }
+  TableConfigStore* store() { return &store_; }
+  Membership* membership() { return &membership_; }
+
+ private:
+  Membership::Options MembershipOptions(const Settings& settings);
+  ConfigFollower::Options FollowerOptions(const Settings& settings);
+  TableConfigStore::Options StoreOptions();
+
+  const SharedParts& parts_;
+  BackgroundLoop membership_loop_;
+  BackgroundLoop follower_loop_;
+  PublishedConfig config_;
+  Membership membership_;
+  ConfigFollower follower_;
+  TableConfigStore store_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_APP_CONTROL_PLANE_H_
--- /dev/null
+++ b/src/app/daemon.cc
@@ -0,0 +1,192 @@
+#include "src/app/daemon.h"
+
+#include <cstdint>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+
+namespace wisteriareel {
+namespace {
+
+// The balancer stops sending requests within this time of the instance no
+// longer being ready.
+constexpr absl::Duration kBalancerNotice = absl::Seconds(3);
+// Bounds on each step of a shutdown after the last request.
+constexpr absl::Duration kClaimsPatience = absl::Seconds(10);
+constexpr absl::Duration kBudgetPatience = absl::Seconds(10);
+constexpr absl::Duration kListenerPatience = absl::Seconds(5);
+
+PlatformClientOptions ClientOf(const Endpoint& endpoint) {
+  return {.endpoint = endpoint};
+}
+
+}  // namespace
+
+// Stands in for the connections to other instances.
+class Daemon::Peers final : public PeerTransport {
+ public:
+  void Send(const InstanceId&, const Endpoint&, const PeerMessage&) override {}
+};
+
+Daemon::Daemon(Settings settings, EventLog* events)
+    : settings_(std::move(settings)),
+      events_(events),
+      random_(MakeSystemRandom()),
+      table_(ClientOf(settings_.platform.table), &counters_),
+      objects_(ClientOf(settings_.platform.object_store)),
+      instances_(ClientOf(settings_.platform.instance_list)),
+      peers_(std::make_unique<Peers>()),
+      parts_(MakeParts()),
+      control_(settings_, parts_, &dispatcher_),
+      budgets_(settings_, parts_, control_.membership()),
+      requests_(settings_, parts_, &control_, &budgets_),
+      caller_server_(CallerOptions(), CallerParts()),
+      operator_server_(OperatorOptions()) {
+  AddGauges();
+}
+
+Daemon::~Daemon() {
+  caller_server_.Stop(absl::ZeroDuration());
+  operator_server_.Stop(absl::ZeroDuration());
+  StopLoops();
+}
+
+void Daemon::StopLoops() {
+  requests_.Stop();
+  budgets_.Stop();
+  control_.Stop();
+}
+
+SharedParts Daemon::MakeParts() {
+  return {.clock = SystemClock(),
+          .random = random_.get(),
+          .counters = &counters_,
+          .events = events_,
+          .table = &table_,
+          .objects = &objects_,
+          .instances = &instances_,
+          .peers = peers_.get()};
+}
+
+CallerServerOptions Daemon::CallerOptions() const {
+  CallerServerOptions options;
+  options.listener.endpoint = settings_.listen.callers;
+  options.listener.limits.max_connections = settings_.limits.max_connections;
+  options.listener.limits.max_body_bytes = settings_.limits.max_body_bytes;
+  options.listener.limits.head_timeout = settings_.timeouts.caller_read;
+  options.listener.limits.write_timeout = settings_.timeouts.caller_write;
+  options.default_timeout = settings_.timeouts.request;
+  return options;
+}
+
+CallerServerParts Daemon::CallerParts() {
+  return {.config = control_.config(),
+          .handler = requests_.service(),
+          .random = random_.get(),
+          .counters = &counters_,
+          .ready = [this] { return Ready(); },
+          .metrics = [this] { return counters_.Page(); }};
+}
+
+OperatorServerOptions Daemon::OperatorOptions() {
+  OperatorServerOptions options;
+  options.listen = settings_.listen.operators;
+  options.tls = settings_.tls.operators;
+  OperatorServices& services = options.services;
+  services.config_store = control_.store();
+  services.config_view = control_.config();
+  services.budget_admin = budgets_.admin();
+  services.record_reader = budgets_.reader();
+  services.claim_admin = requests_.claim_admin();
+  services.membership = control_.membership();
+  services.drain = this;
+  services.counters = &counters_;
+  services.events = events_;
+  services.instance = settings_.instance.id;
+  services.region = settings_.instance.region;
+  services.zone = settings_.instance.zone;
+  services.program_version = WISTERIAREEL_VERSION;
+  services.credentials = OperatorCredentials(settings_.operators);
+  services.call_timeout = settings_.timeouts.operator_call;
+  return options;
+}
+
+void Daemon::AddGauges() {
+  counters_.AddGauge(
+      {.name = "requests_in_flight",
+       .help = "Requests being served.",
+       .read = [this] { return requests_.service()->InFlight(); }});
+  counters_.AddGauge({.name = "caller_connections",
+                      .help = "Open connections of callers.",
+                      .read = [this] { return caller_server_.connections(); }});
+  counters_.AddGauge({.name = "config_revision",
+                      .help = "Revision of the configuration in force.",
+                      .read = [this] {
+                        return control_.config()->Current()->revision().value();
+                      }});
+  counters_.AddGauge(
+      {.name = "records_waiting",
+       .help = "Records not yet in the object store.",
+       .read = [this] { return budgets_.journal()->waiting(); }});
+}
+
+bool Daemon::Start(LastReason* reason) {
+  if (!caller_server_.Start(reason)) return false;
+  if (!operator_server_.Start(reason)) return false;
+  control_.Start();
+  budgets_.Start();
+  requests_.Start();
+  events_->Write(EventId::kDaemonStarted, Severity::kInfo, "daemon started",
+                 {{"instance", settings_.instance.id.value()},
+                  {"zone", settings_.instance.zone.value()},
+                  {"caller_port", absl::StrCat(caller_port())},
+                  {"operator_port", absl::StrCat(operator_port())}});
+  return true;
+}
+
+bool Daemon::Ready() const { return !draining_ && control_.Loaded(); }
+
+void Daemon::RequestDrain() {
+  if (draining_.exchange(true)) return;
+  events_->Write(EventId::kDaemonDraining, Severity::kInfo, "draining", {});
+  drain_requested_.Notify();
+}
+
+DrainProgress Daemon::Progress() const {
+  return {.draining = draining_,
+          .requests_in_flight =
+              static_cast<std::uint64_t>(requests_.service().InFlight()),
+          .records_unflushed = budgets_.journal().waiting()};
+}
+
+ShutdownReport Daemon::Shutdown() {
+  RequestDrain();
+  Clock* clock = parts_.clock;
+  // Requests that the balancer still sends are served as before.
+  clock->Sleep(kBalancerNotice);
+  caller_server_.BeginDrain();
+  const absl::Time deadline = clock->Now() + settings_.timeouts.drain;
+  const RequestDrainReport drained = requests_.Drain(deadline);
+  caller_server_.Stop(kListenerPatience);
+
+  ShutdownReport report;
+  report.requests_left = drained.in_flight_left;
+  report.claims_left = requests_.SettleClaims(clock->Now() + kClaimsPatience);
+  const BudgetDrainReport budgets =
+      budgets_.Drain(clock->Now() + kBudgetPatience);
+  report.records_left = budgets.records_left;
+  report.grants_returned = budgets.grants_returned;
+  operator_server_.Stop(kListenerPatience);
+  StopLoops();
+  events_->Write(
+      EventId::kDaemonStopped,
+      report.clean() ? Severity::kInfo : Severity::kWarning, "daemon stopped",
+      {{"requests_left", absl::StrCat(report.requests_left)},
+       {"claims_left", absl::StrCat(report.claims_left)},
+       {"records_left", absl::StrCat(report.records_left)},
+       {"grants_returned", report.grants_returned ? "true" : "false"}});
+  return report;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/app/daemon.h
@@ -0,0 +1,106 @@
+#ifndef WISTERIAREEL_SRC_APP_DAEMON_H_
+#define WISTERIAREEL_SRC_APP_DAEMON_H_
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+
+#include "absl/synchronization/notification.h"
+#include "src/app/budget_plane.h"
+#include "src/app/control_plane.h"
+#include "src/app/request_plane.h"
+#include "src/app/shared_parts.h"
+#include "src/http/caller_server.h"
+#include "src/observability/histogram_counters.h"
+#include "src/platform/http_instance_list.h"
+#include "src/platform/http_object_store.h"
+#include "src/platform/http_table_service.h"
+#include "src/rpc/drain_control.h"
+#include "src/rpc/operator_server.h"
+#include "src/settings/settings.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/peer_dispatcher.h"
+#include "wisteriareel/reason.h"
+
+namespace wisteriareel {
+
+// What a shutdown left behind.
+struct ShutdownReport {
+  int requests_left = 0;
+  int claims_left = 0;
+  std::size_t records_left = 0;
+  bool grants_returned = false;
+
+  // Returns true if nothing was cut off or left behind.
+  bool clean() const {
+    return requests_left == 0 && claims_left == 0 && records_left == 0 &&
+           grants_returned;
+  }
+
+  friend bool operator==(const ShutdownReport&,
+                         const ShutdownReport&) = default;
+};
+
+// One instance: serves callers and operators and works with the other
+// instances. Owns everything that it is made of. Start and Shutdown belong to
+// one thread; the rest is thread-safe.
+class Daemon final : public DrainControl {
+ public:
+  // `events` must outlive the daemon.
+  Daemon(Settings settings, EventLog* events);
+  ~Daemon() override;
+
+  // Binds the listeners and starts all loops. Returns false with a reason if
+  // an address can't be bound.
+  bool Start(LastReason* reason);
+
+  // Returns the bound ports; see the settings for those that are fixed.
+  int caller_port() const { return caller_server_.port(); }
+  int operator_port() const { return operator_server_.port(); }
+
+  // Returns true while the balancer may send requests here.
+  bool Ready() const;
+
+  void RequestDrain() override;
+  DrainProgress Progress() const override;
+
+  // Returns once a drain was requested.
+  void AwaitDrainRequest() const { drain_requested_.WaitForNotification(); }
+
+  // Takes no new request, lets those in flight end, hands grants, claims and
+  // records back, each within a bound, and stops.
+  ShutdownReport Shutdown();
+
+ private:
+  class Peers;
+
+  SharedParts MakeParts();
+  CallerServerOptions CallerOptions() const;
+  CallerServerParts CallerParts();
+  OperatorServerOptions OperatorOptions();
+  void AddGauges();
+  void StopLoops();
+
+  const Settings settings_;
+  EventLog* const events_;
+  HistogramCounters counters_;
+  const std::unique_ptr<RandomSource> random_;
+  HttpTableService table_;
+  HttpObjectStore objects_;
+  HttpInstanceList instances_;
+  PeerDispatcher dispatcher_;
+  const std::unique_ptr<Peers> peers_;
+  const SharedParts parts_;
+  ControlPlane control_;
+  BudgetPlane budgets_;
+  RequestPlane requests_;
+  CallerServer caller_server_;
+  OperatorServer operator_server_;
+
+  std::atomic<bool> draining_ = false;
+  absl::Notification drain_requested_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_APP_DAEMON_H_
--- /dev/null
+++ b/src/app/request_plane.cc
@@ -0,0 +1,71 @@
+#include "src/app/request_plane.h"
+
+namespace wisteriareel {
+namespace {
+
+// Pause between two tries to confirm claim changes at shutdown.
+constexpr absl::Duration kDrainPause = absl::Milliseconds(50);
+
+RequestTimeouts TimeoutsOf(const TimeoutSettings& settings) {
+  return {.chat = settings.request, .connect = settings.target_connect};
+}
+
+}  // namespace
+
+RequestPlane::RequestPlane(const Settings& settings, const SharedParts& parts,
+                           ControlPlane* control, BudgetPlane* budgets)
+    : parts_(parts),
+      targets_({}),
+      claims_({.instance = settings.instance.id,
+               .table = parts.table,
+               .objects = parts.objects,
+               .membership = control->membership(),
+               .clock = parts.clock,
+               .events = parts.events,
+               .call_timeout = settings.platform.timeout}),
+      selector_({.instance = settings.instance.id,
+                 .zone = settings.instance.zone,
+                 .config = control->config(),
+                 .membership = control->membership(),
+                 .random = parts.random}),
+      service_({.instance = settings.instance.id,
+                .zone = settings.instance.zone,
+                .config = control->config(),
+                .budget = budgets->keeper(),
+                .journal = budgets->journal(),
+                .targets = &targets_,
+                .selector = &selector_,
+                .claims = &claims_,
+                .membership = control->membership(),
+                .clock = parts.clock,
+                .random = parts.random,
+                .counters = parts.counters,
+                .events = parts.events,
+                .timeouts = TimeoutsOf(settings.timeouts)}) {}
+
+void RequestPlane::Start() {
+  claims_loop_.Start([this] { return claims_.Step(); });
+  selector_loop_.Start([this] {
+    selector_.Refresh();
+    return FleetSelector::kRefreshInterval;
+  });
+}
+
+RequestDrainReport RequestPlane::Drain(absl::Time deadline) {
+  return service_.Drain(deadline);
+}
+
+int RequestPlane::SettleClaims(absl::Time deadline) {
+  while (claims_.Unconfirmed() > 0 && parts_.clock->Now() < deadline) {
+    claims_.Step();
+    parts_.clock->Sleep(kDrainPause);
+  }
+  return claims_.Unconfirmed();
+}
+
+void RequestPlane::Stop() {
+  selector_loop_.Stop();
+  claims_loop_.Stop();
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/app/shared_parts.h
@@ -0,0 +1,29 @@
+#ifndef WISTERIAREEL_SRC_APP_SHARED_PARTS_H_
+#define WISTERIAREEL_SRC_APP_SHARED_PARTS_H_
+
+#include "wisteriareel/clock.h"
+#include "wisteriareel/counters.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/instance_list.h"
+#include "wisteriareel/object_store.h"
+#include "wisteriareel/peer_transport.h"
+#include "wisteriareel/random_source.h"
+#include "wisteriareel/table_service.h"
+
+namespace wisteriareel {
+
+// What all parts of a daemon use. Nothing is owned, nothing is null.
+struct SharedParts {
+  Clock* clock = nullptr;
+  RandomSource* random = nullptr;
+  Counters* counters = nullptr;
+  EventLog* events = nullptr;
+  TableService* table = nullptr;
+  ObjectStore* objects = nullptr;
+  InstanceList* instances = nullptr;
+  PeerTransport* peers = nullptr;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_APP_SHARED_PARTS_H_
--- a/src/base/background_loop.cc
+++ b/src/base/background_loop.cc
@@ -10,11 +10,15 @@
 
 }  // namespace
 
-BackgroundLoop::BackgroundLoop(std::function<absl::Duration()> step)
-    : step_(std::move(step)), thread_([this] { Run(); }) {}
+BackgroundLoop::BackgroundLoop(Step step) { Start(std::move(step)); }
 
 BackgroundLoop::~BackgroundLoop() { Stop(); }
 
+void BackgroundLoop::Start(Step step) {
+  step_ = std::move(step);
+  thread_ = std::thread([this] { Run(); });
+}
+
 void BackgroundLoop::Wake() {
   std::lock_guard<std::mutex> lock(mutex_);
   woken_ = true;
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -9,7 +9,7 @@
 #include "src/http/chat_codec.h"
 #include "src/http/http_answer_writer.h"
 #include "src/http/http_target_client.h"
-#include "src/http/key_hash.h"
+#include "src/security/digest.h"
 
 namespace wisteriareel {
 namespace {
@@ -51,7 +51,7 @@
   if (!absl::StartsWithIgnoreCase(header, kBearer)) return unknown;
   const std::string secret = header.substr(sizeof(kBearer) - 1);
   if (secret.empty() || secret.size() > kMaxKeyBytes) return unknown;
-  const std::string hash = HashKey(secret);
+  const std::string hash = Sha256Hex(secret);
   const ApiKey* key = config.FindKeyByHash(hash);
   if (key == nullptr || !EqualInConstantTime(key->hash, hash)) return unknown;
   if (key->revoked) return unknown;
