--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -33,6 +33,7 @@
     : settings_(std::move(settings)),
       events_(events),
       random_(MakeSystemRandom()),
+      request_ids_(settings_.instance.id, SystemClock(), random_.get()),
       table_(ClientOf(settings_.platform.table), &counters_),
       objects_(ClientOf(settings_.platform.object_store)),
       instances_(ClientOf(settings_.platform.instance_list)),
@@ -84,6 +85,7 @@
   return {.config = control_.config(),
           .handler = requests_.service(),
           .random = random_.get(),
+          .next_request_id = [this] { return request_ids_.Next(); },
           .counters = &counters_,
           .ready = [this] { return Ready(); },
           .metrics = [this] { return counters_.Page(); }};
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -10,6 +10,7 @@
 #include "src/app/control_plane.h"
 #include "src/app/request_plane.h"
 #include "src/app/shared_parts.h"
+#include "src/budget/request_id_maker.h"
 #include "src/http/caller_server.h"
 #include "src/observability/histogram_counters.h"
 #include "src/platform/http_instance_list.h"
@@ -85,6 +86,7 @@
   EventLog* const events_;
   HistogramCounters counters_;
   const std::unique_ptr<RandomSource> random_;
+  RequestIdMaker request_ids_;
   HttpTableService table_;
   HttpObjectStore objects_;
   HttpInstanceList instances_;
--- a/src/budget/grant_keeper.cc
+++ b/src/budget/grant_keeper.cc
@@ -70,7 +70,6 @@
   if (!parts_.journal->HasRoom()) refusal = Reason::kRecordJournalFull;
   if (worst_case < Tokens(0)) refusal = Reason::kMalformed;
   if (refusal != Reason::kNone) {
-    parts_.counters->Refused(refusal);
     reason->Set(refusal, budget.value());
     return std::nullopt;
   }
@@ -133,7 +132,6 @@
     break;
   }
   --waiting_;
-  parts_.counters->Refused(refusal);
   reason->Set(refusal, budget.value());
   return std::nullopt;
 }
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -179,7 +179,7 @@
     return std::nullopt;
   }
   CallerRequest call;
-  call.id = RequestId(parts_.random->HexId());
+  call.id = NextRequestId();
   call.customer = key.customer;
   call.budget = key.budget;
   call.method = request.method;
@@ -245,11 +245,16 @@
   response->set_header("Retry-After", absl::StrCat(seconds));
 }
 
+RequestId CallerServer::NextRequestId() {
+  if (parts_.next_request_id) return parts_.next_request_id();
+  return RequestId(parts_.random->HexId());
+}
+
 void CallerServer::Refuse(const HttpRefusal& refusal,
                           httplib::Response* response) {
   parts_.counters->Add(Counter::kCallersRefused, 1);
   parts_.counters->Refused(refusal.reason);
-  const RequestId id(parts_.random->HexId());
+  const RequestId id = NextRequestId();
   const CallResult result{.reason = refusal.reason, .detail = refusal.detail};
   response->status = refusal.status;
   response->set_content(ErrorBody(id, result), "application/json");
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -37,6 +37,9 @@
   RequestHandler* handler = nullptr;
   Clock* clock = SystemClock();
   RandomSource* random = nullptr;
+  // Makes the ids of requests. Null for random ones, by which no record can be
+  // found again.
+  std::function<RequestId()> next_request_id;
   Counters* counters = DiscardCounters();
   // Returns whether the balancer may send requests. Null for always.
   std::function<bool()> ready;
@@ -72,6 +75,7 @@
   std::optional<CallerRequest> MakeRequest(const httplib::Request& request,
                                            const HttpExchange& exchange,
                                            HttpRefusal* refusal);
+  RequestId NextRequestId();
   void AddRetryAfter(const CallResult& result, httplib::Response* response);
 
   const CallerServerOptions options_;
--- a/src/request/request_run_settle.cc
+++ b/src/request/request_run_settle.cc
@@ -5,10 +5,6 @@
 
 void RequestRun::Settle() {
   const RequestRecord record = MakeRecord();
-  if (record.billed > Tokens()) {
-    options_.counters->Add(Counter::kTokensBilled,
-                           static_cast<std::uint64_t>(record.billed.value()));
-  }
   options_.counters->Record(Timing::kRequest, record.finished - record.started);
   if (reservation_ && result_.verdict != Verdict::kNotRun) {
     options_.budget->Settle(*reservation_, record);
