--- a/bench/control_bench.cmake
+++ b/bench/control_bench.cmake
@@ -0,0 +1,4 @@
+add_executable(control_slopes control_slopes.cc)
+target_link_libraries(control_slopes PRIVATE
+  wisteriareel_warnings wisteriareel_membership wisteriareel_config
+  wisteriareel_fakes)
--- /dev/null
+++ b/bench/control_load.h
@@ -0,0 +1,114 @@
+#ifndef WISTERIAREEL_BENCH_CONTROL_LOAD_H_
+#define WISTERIAREEL_BENCH_CONTROL_LOAD_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+#include "test/config_test_support.h"
+#include "test/control_fleet.h"
+
+namespace wisteriareel {
+
+// Sizes of the two-year target.
+inline constexpr int kTargetZones = 28;
+// 540 instances over 28 zones, rounded up.
+inline constexpr int kTargetPerZone = 20;
+inline constexpr int kTargetTargets = 12'000;
+inline constexpr int kTargetBudgets = 32'000;
+inline constexpr int kTargetCustomers = 13'000;
+inline constexpr int kTargetPools = 70;
+inline constexpr double kTargetChangesPerSecond = 38'000 / 86'400.0;
+// Limits of the target.
+inline constexpr double kBytesPerSecondLimit = 3'000;
+inline constexpr double kTableReadsHalf = 1'000;
+inline constexpr double kTableWritesHalf = 150;
+
+// What a fleet sent, received and read while it ran.
+struct ControlCounts {
+  double seconds = 0;
+  double mean_sent_bytes = 0;
+  double max_sent_bytes = 0;
+  double mean_messages = 0;
+  double max_received_bytes = 0;
+  double table_rows = 0;
+  // Longest time from acceptance until a change was in force everywhere.
+  absl::Duration slowest_rollout;
+};
+
+// Runs `fleet` for `duration` with `changes_per_second` accepted orders and
+// returns counts, those of traffic and reads per second.
+inline ControlCounts RunControlLoad(ControlFleet* fleet,
+                                    absl::Duration duration,
+                                    double changes_per_second) {
+  struct Waiting {
+    Revision revision;
+    absl::Time accepted;
+  };
+  ControlCounts counts;
+  std::vector<Waiting> waiting;
+  fleet->network.ResetTraffic();
+  std::uint64_t rows_before = 0;
+  for (const auto& instance : fleet->instances) {
+    rows_before += instance->link.rows_read();
+  }
+  const absl::Time start = fleet->clock.Now();
+  double due = 0;
+  int accepted = 0;
+  while (fleet->clock.Now() < start + duration || !waiting.empty()) {
+    const absl::Duration passed = fleet->clock.Now() - start;
+    if (passed > duration + absl::Minutes(1)) break;
+    due =
+        absl::ToDoubleSeconds(std::min(passed, duration)) * changes_per_second;
+    for (; accepted < due; ++accepted) {
+      LastReason reason;
+      const auto order = PutOrder(
+          absl::StrCat("load-", absl::ToUnixMillis(start), "-", accepted),
+          TestCustomer(accepted % 100,
+                       static_cast<std::uint32_t>(accepted + 1)));
+      const std::size_t at =
+          static_cast<std::size_t>(accepted) * 7 % fleet->instances.size();
+      const auto answer =
+          fleet->instances[at]->store.Apply(order, kTestTimeout, &reason);
+      if (answer) waiting.push_back({answer->revision, fleet->clock.Now()});
+    }
+    fleet->Tick();
+    Revision lowest(UINT64_MAX);
+    for (const auto& instance : fleet->instances) {
+      lowest = std::min(lowest, instance->revision());
+    }
+    std::erase_if(waiting, [&](const Waiting& change) {
+      if (change.revision > lowest) return false;
+      counts.slowest_rollout = std::max(counts.slowest_rollout,
+                                        fleet->clock.Now() - change.accepted);
+      return true;
+    });
+  }
+  if (!waiting.empty()) counts.slowest_rollout = absl::InfiniteDuration();
+  counts.seconds = absl::ToDoubleSeconds(fleet->clock.Now() - start);
+  const double n = static_cast<double>(fleet->instances.size());
+  for (const auto& instance : fleet->instances) {
+    const PeerTraffic sent = fleet->network.SentBy(instance->id);
+    const PeerTraffic received = fleet->network.ReceivedBy(instance->id);
+    const double sent_bytes = static_cast<double>(sent.bytes) / counts.seconds;
+    const double received_bytes =
+        static_cast<double>(received.bytes) / counts.seconds;
+    counts.mean_sent_bytes += sent_bytes / n;
+    counts.max_sent_bytes = std::max(counts.max_sent_bytes, sent_bytes);
+    counts.max_received_bytes =
+        std::max(counts.max_received_bytes, received_bytes);
+    counts.mean_messages +=
+        static_cast<double>(sent.messages) / counts.seconds / n;
+    counts.table_rows += static_cast<double>(instance->link.rows_read());
+  }
+  counts.table_rows =
+      (counts.table_rows - static_cast<double>(rows_before)) / counts.seconds;
+  return counts;
+}
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_BENCH_CONTROL_LOAD_H_
--- a/include/wisteriareel/config_follower.h
+++ b/include/wisteriareel/config_follower.h
@@ -38,6 +38,10 @@
   static constexpr absl::Duration kDefaultTableTimeout = absl::Seconds(1);
   // Pause between two pulls from peers without an answer.
   static constexpr absl::Duration kDefaultPullRetry = absl::Seconds(1);
+  // How long an instance with empty memory asks peers before it reads all
+  // entries from the table: one of those that read it often, and any other.
+  static constexpr absl::Duration kDefaultReaderPatience = absl::Seconds(2);
+  static constexpr absl::Duration kDefaultPatience = absl::Seconds(10);
   // Longest pause between two looks at what peers have.
   static constexpr absl::Duration kDefaultLongestPause =
       absl::Milliseconds(250);
@@ -68,6 +72,8 @@
     absl::Duration retry_poll = kDefaultRetryPoll;
     absl::Duration table_timeout = kDefaultTableTimeout;
     absl::Duration pull_retry = kDefaultPullRetry;
+    absl::Duration reader_patience = kDefaultReaderPatience;
+    absl::Duration patience = kDefaultPatience;
     absl::Duration longest_pause = kDefaultLongestPause;
     std::size_t recent_deltas = kDefaultRecentDeltas;
     std::size_t part_entries = kDefaultPartEntries;
--- a/src/config/config_follower.cc
+++ b/src/config/config_follower.cc
@@ -65,6 +65,7 @@
         recent_(options_.recent_deltas) {}
 
   absl::Duration Step() {
+    if (started_ == absl::InfinitePast()) started_ = options_.clock->Now();
     members_ = options_.membership->AllMembers();
     for (const Inbound& inbound : inbox_.TakeAll()) Handle(inbound);
     if (read_soon_.exchange(false) || options_.clock->Now() >= next_poll_) {
@@ -93,6 +94,12 @@
  private:
   Revision Current() const { return options_.config->Snapshot()->revision(); }
 
+  // Returns this instance's rank among `members`.
+  std::size_t RankAmong(const std::vector<InstanceId>& members) const {
+    return RendezvousRank(absl::StrCat("config/", options_.zone.value()),
+                          options_.self, members);
+  }
+
   // Returns this instance's rank among the zone's instances that are heard.
   std::size_t Rank(std::vector<InstanceId>* heard) const {
     heard->clear();
@@ -102,8 +109,25 @@
           member.state == MemberState::kAlive || member.id == options_.self;
       if (counts) heard->push_back(member.id);
     }
-    return RendezvousRank(absl::StrCat("config/", options_.zone.value()),
-                          options_.self, *heard);
+    return RankAmong(*heard);
+  }
+
+  // Returns whether an instance with empty memory still waits for a copy from
+  // a peer of its zone. A whole read costs the table as many rows as there
+  // are entries, and many instances start on an ordinary day. Those that
+  // read the table for the others wait less, so that a zone that starts from
+  // nothing costs two whole reads.
+  bool WaitsForPeers() const {
+    std::vector<InstanceId> listed;
+    for (const Member& member : members_) {
+      if (member.zone != options_.zone) continue;
+      if (member.state != MemberState::kDead) listed.push_back(member.id);
+    }
+    if (listed.size() < 2) return false;
+    const absl::Duration patience = RankAmong(listed) < options_.readers
+                                        ? options_.reader_patience
+                                        : options_.patience;
+    return options_.clock->Now() - started_ < patience;
   }
 
   bool IsReader() const {
@@ -115,36 +139,43 @@
   void PollTable() {
     const absl::Time now = options_.clock->Now();
     LastReason reason;
-    const bool read = ReadTable(&reason);
-    SetPlatformAway(!read, reason);
-    if (read) options_.config->Confirm(now);
-    const absl::Duration pause = !read        ? options_.retry_poll
-                                 : IsReader() ? options_.reader_poll
-                                              : options_.backstop_poll;
+    const auto head = ReadTable(&reason);
+    SetPlatformAway(!head, reason);
+    if (head && loaded_ && Current() >= *head) options_.config->Confirm(now);
+    absl::Duration pause = options_.retry_poll;
+    if (head && loaded_) {
+      pause = IsReader() ? options_.reader_poll : options_.backstop_poll;
+    }
     const double jitter =
         1 + kPollJitter * (2 * options_.random->Fraction() - 1);
     next_poll_ = options_.clock->Now() + pause * jitter;
   }
 
-  bool ReadTable(LastReason* reason) {
+  // Brings the configuration up to the table's revision, which it returns.
+  std::optional<Revision> ReadTable(LastReason* reason) {
     const auto head = reader_.ReadHead(options_.table_timeout, reason);
-    if (!head) return false;
+    if (!head || !CatchUp(*head, reason)) return std::nullopt;
+    return head->revision;
+  }
+
+  bool CatchUp(const ConfigHead& head, LastReason* reason) {
     const Revision current = Current();
-    if (head->revision < current) {
+    if (head.revision < current) {
       options_.events->Write(
           EventId::kConfigHeadBehind, Severity::kError,
           "the table states an older revision than is in force",
-          {{"table", absl::StrCat(head->revision.value())},
+          {{"table", absl::StrCat(head.revision.value())},
            {"in_force", absl::StrCat(current.value())}});
       reason->Set(Reason::kRevisionStale, "head row");
       return false;
     }
-    if (head->revision == current) {
+    if (head.revision == current) {
       loaded_ = true;
       return true;
     }
+    if (!loaded_ && WaitsForPeers()) return true;
     if (!loaded_ || read_whole_) return ReadWhole(reason);
-    const auto deltas = reader_.ReadDeltas(current, head->revision,
+    const auto deltas = reader_.ReadDeltas(current, head.revision,
                                            options_.table_timeout, reason);
     if (!deltas) {
       return reason->reason() == Reason::kRevisionStale && ReadWhole(reason);
@@ -299,11 +330,10 @@
   bool PullDue() const {
     if (options_.clock->Now() < next_pull_) return false;
     // A reader that reaches the table has no need of peers.
-    return platform_away_ || !IsReader();
+    return !loaded_ || platform_away_ || !IsReader();
   }
 
   void Pull() {
-    if (!platform_away_ && !loaded_) return;
     const auto sources = Sources();
     if (sources.empty()) return;
     const Member& source = *sources[options_.random->Below(sources.size())];
@@ -344,6 +374,7 @@
   InstanceId pulled_from_;
   Revision newest_heard_;
   InstanceId newest_source_;
+  absl::Time started_ = absl::InfinitePast();
   absl::Time next_poll_ = absl::InfinitePast();
   absl::Time next_pull_ = absl::InfinitePast();
   int pulls_ = 0;
--- a/src/membership/zone_relay.cc
+++ b/src/membership/zone_relay.cc
@@ -1,6 +1,7 @@
 #include "src/membership/zone_relay.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -72,7 +73,9 @@
     return !members.contains(entry.first);
   });
   for (auto& [id, listed_members] : members) {
-    zones_[id].members = std::move(listed_members);
+    Zone& zone = zones_[id];
+    zone.receivers = ReceiversOf(id, listed_members);
+    zone.members = std::move(listed_members);
   }
 }
 
@@ -95,18 +98,18 @@
   expect_until_ = now + kAskPeriod;
 }
 
-std::vector<InstanceId> ZoneRelay::ReceiversOf(const ZoneId& id,
-                                               const Zone& zone) const {
+std::vector<InstanceId> ZoneRelay::ReceiversOf(
+    const ZoneId& id, const std::map<InstanceId, Member>& members) const {
   std::vector<InstanceId> ids;
-  for (const auto& [member, unused] : zone.members) ids.push_back(member);
+  for (const auto& [member, unused] : members) ids.push_back(member);
   ids = RendezvousOrder(Topic(id, zone_), std::move(ids));
   if (ids.size() > kReceivers) ids.resize(kReceivers);
   return ids;
 }
 
-void ZoneRelay::Send(const ZoneId& id, Zone* zone, const ZoneDigest& digest,
+void ZoneRelay::Send(Zone* zone, const ZoneDigest& digest,
                      std::vector<Outgoing>* outgoing) {
-  const std::vector<InstanceId> receivers = ReceiversOf(id, *zone);
+  const auto& receivers = zone->receivers;
   const InstanceId& to = receivers[zone->turn++ % receivers.size()];
   outgoing->push_back({to, zone->members.at(to).endpoint, digest});
 }
@@ -114,7 +117,7 @@
 void ZoneRelay::Tick(const InstanceId& self, const std::vector<Member>& members,
                      absl::Time now, std::vector<Outgoing>* outgoing) {
   const bool expecting = now < expect_until_;
-  const std::vector<InstanceId> live = LiveIds(members);
+  std::vector<InstanceId> live;
   std::optional<ZoneDigest> digest;
   for (auto& [id, zone] : zones_) {
     const bool ask =
@@ -123,20 +126,21 @@
     const bool due = now >= zone.next_digest;
     if (!ask && !due) continue;
     if (due) zone.next_digest = now + kDigestInterval;
+    if (live.empty()) live = LiveIds(members);
     const bool sender =
         due && RendezvousRank(Topic(zone_, id), self, live) == 0;
     if (!ask && !sender) continue;
     if (!digest) digest = MakeDigest(zone_, self, members);
     digest->reply_wanted = ask;
     if (ask) zone.asked = now;
-    Send(id, &zone, *digest, outgoing);
+    Send(&zone, *digest, outgoing);
   }
 }
 
 std::vector<Member> ZoneRelay::Contacts() const {
   std::vector<Member> contacts;
   for (const auto& [id, zone] : zones_) {
-    std::vector<InstanceId> ids = ReceiversOf(id, zone);
+    std::vector<InstanceId> ids = zone.receivers;
     // Whoever sent the last digest was alive then.
     const bool known = zone.members.contains(zone.sender);
     if (known && std::find(ids.begin(), ids.end(), zone.sender) == ids.end()) {
--- a/src/membership/zone_relay.h
+++ b/src/membership/zone_relay.h
@@ -66,6 +66,8 @@
  private:
   struct Zone {
     std::map<InstanceId, Member> members;
+    // Those that receive this zone's digests, in turns.
+    std::vector<InstanceId> receivers;
     ZoneDigest digest;
     InstanceId sender;
     absl::Time heard = absl::InfinitePast();
@@ -74,10 +76,10 @@
     std::uint64_t turn = 0;
   };
 
-  // Returns the members that receive this zone's digests, in turns.
-  std::vector<InstanceId> ReceiversOf(const ZoneId& id, const Zone& zone) const;
-  void Send(const ZoneId& id, Zone* zone, const ZoneDigest& digest,
-            std::vector<Outgoing>* outgoing);
+  std::vector<InstanceId> ReceiversOf(
+      const ZoneId& id, const std::map<InstanceId, Member>& members) const;
+  static void Send(Zone* zone, const ZoneDigest& digest,
+                   std::vector<Outgoing>* outgoing);
 
   const ZoneId zone_;
   std::map<ZoneId, Zone> zones_;
--- a/standin/fakes/fake_peer_network.h
+++ b/standin/fakes/fake_peer_network.h
@@ -16,7 +16,7 @@
 
 namespace wisteriareel {
 
-// What one instance has sent.
+// What one instance has sent, or what it has received.
 struct PeerTraffic {
   std::uint64_t messages = 0;
   std::uint64_t bytes = 0;
@@ -93,9 +93,16 @@
     return it == traffic_.end() ? PeerTraffic{} : it->second;
   }
 
+  PeerTraffic ReceivedBy(const InstanceId& id) const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = received_.find(id);
+    return it == received_.end() ? PeerTraffic{} : it->second;
+  }
+
   void ResetTraffic() {
     std::lock_guard<std::mutex> lock(mutex_);
     traffic_.clear();
+    received_.clear();
   }
 
  private:
@@ -135,6 +142,9 @@
       if (up_ && !up_(message.from, message.to)) return 0;
       const auto it = receivers_.find(message.to);
       if (it != receivers_.end()) receiver = it->second;
+      PeerTraffic& traffic = received_[message.to];
+      ++traffic.messages;
+      traffic.bytes += message.message.payload.size() + 1;
     }
     if (receiver == nullptr) return 0;
     receiver->OnPeerMessage(message.from, message.message);
@@ -146,6 +156,7 @@
   std::map<InstanceId, PeerReceiver*> receivers_;
   std::map<InstanceId, std::unique_ptr<Port>> ports_;
   std::map<InstanceId, PeerTraffic> traffic_;
+  std::map<InstanceId, PeerTraffic> received_;
   std::vector<Waiting> waiting_;
 };
 
--- a/test/config_follower_test.cc
+++ b/test/config_follower_test.cc
@@ -70,6 +70,19 @@
             fleet_.instances[0]->config.Snapshot()->digest());
 }
 
+TEST_F(ConfigFollowerTest, SparesThePlatformAWholeReadOnARestart) {
+  for (int i = 0; i < 700; ++i) {
+    Accept(0, PutOrder(absl::StrCat("o", i), TestCustomer(i)));
+  }
+  fleet_.Run(kTodayBound);
+  fleet_.Restart(4);
+  fleet_.Run(kTodayBound);
+  const auto& restarted = *fleet_.instances[4];
+  EXPECT_EQ(restarted.revision(), Revision(700));
+  EXPECT_LT(restarted.link.rows_read(), 20u);
+  EXPECT_NE(restarted.config.ConfirmedAt(), absl::InfinitePast());
+}
+
 TEST_F(ConfigFollowerTest, RestartsFromThePlatformThroughALaggingScan) {
   for (int i = 0; i < 5; ++i) {
     Accept(0, PutOrder(absl::StrCat("o", i), TestCustomer(i)));
@@ -77,8 +90,10 @@
   fleet_.table.SetFaults({.scan_lag_commits = 3});
   Accept(0, RemoveOrder("r", KeyOf(TestCustomer(2))));
   Accept(0, PutOrder("p", TestCustomer(3, 9)));
+  fleet_.network.SetLinks(
+      [](const InstanceId&, const InstanceId&) { return false; });
   fleet_.Restart(4);
-  fleet_.Run(kTodayBound);
+  fleet_.Run(absl::Seconds(12));
   const auto& restarted = *fleet_.instances[4];
   EXPECT_EQ(restarted.revision(), Revision(7));
   EXPECT_EQ(restarted.config.origin(), ConfigOrigin::kPlatform);
--- a/test/control_fleet.h
+++ b/test/control_fleet.h
@@ -89,7 +89,8 @@
                   .config = &config,
                   .membership = &membership,
                   .transport = network->From(id),
-                  .random = random}),
+                  .random = random,
+                  .wake = [this] { woken = true; }}),
         store({.clock = clock, .table = &link, .rollout = &membership}) {
     for (const auto kind :
          {PeerMessageKind::kHeartbeat, PeerMessageKind::kZoneDigest,
@@ -108,6 +109,8 @@
 
   const InstanceId id;
   const ZoneId zone;
+  // Whether messages wait for the follower's next step.
+  std::atomic<bool> woken = false;
   TableLink link;
   PublishedConfig config;
   Membership membership;
@@ -160,7 +163,7 @@
       instance->membership.Step();
       instance->follower.Step();
     }
-    if (!shuffled) network.DeliverAll();
+    if (!shuffled) Settle();
     for (std::size_t n = 40 * instances.size(); shuffled && n > 0; --n) {
       if (!network.DeliverAny(random_.get())) break;
     }
@@ -181,6 +184,16 @@
   std::vector<std::unique_ptr<ControlInstance>> instances;
 
  private:
+  // Exchanges messages until nobody has anything to answer.
+  void Settle() {
+    while (network.DeliverAll() > 0) {
+      for (const auto& instance : instances) {
+        if (instance == nullptr || !instance->woken.exchange(false)) continue;
+        instance->follower.Step();
+      }
+    }
+  }
+
   std::unique_ptr<ControlInstance> Make(const ListedInstance& line) {
     return std::make_unique<ControlInstance>(line, &clock, &table, &list,
                                              &network, random_.get());
--- /dev/null
+++ b/test/membership_lease_test.cc
@@ -0,0 +1,171 @@
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
+#include "standin/fakes/manual_clock.h"
+#include "standin/fakes/memory_table.h"
+#include "test/late_table.h"
+#include "wisteriareel/lease_keeper.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr absl::Duration kSecond = absl::Seconds(1);
+
+// A candidate with a clock of its own.
+struct Candidate {
+  Candidate(const std::string& name, TableService* table, RandomSource* random)
+      : late(table),
+        keeper({.duty = "duty",
+                .self = InstanceId(name),
+                .clock = &clock,
+                .table = &late,
+                .random = random}) {}
+
+  ManualClock clock;
+  LateTable late;
+  LeaseKeeper keeper;
+  // Share by which the clock is slow or fast.
+  double rate = 1;
+  absl::Duration until_step;
+  bool paused = false;
+};
+
+class LeaseKeeperTest : public testing::Test {
+ protected:
+  void Advance(absl::Duration duration) {
+    for (Candidate* candidate : {&a_, &b_}) candidate->clock.Advance(duration);
+  }
+
+  MemoryTable table_;
+  std::unique_ptr<RandomSource> random_ = MakeSeededRandom(1);
+  Candidate a_{"a", &table_, random_.get()};
+  Candidate b_{"b", &table_, random_.get()};
+};
+
+TEST_F(LeaseKeeperTest, GivesTheDutyToOne) {
+  a_.keeper.Step();
+  b_.keeper.Step();
+  ASSERT_TRUE(a_.keeper.Held());
+  EXPECT_EQ(a_.keeper.Held()->fencing, FencingNumber(1));
+  EXPECT_FALSE(b_.keeper.Held());
+}
+
+TEST_F(LeaseKeeperTest, StopsAPausedHolderBeforeItsSuccessorBegins) {
+  a_.keeper.Step();
+  b_.keeper.Step();
+  Advance(LeaseKeeper::kDefaultDuration);
+  EXPECT_FALSE(a_.keeper.Held());
+  b_.keeper.Step();
+  EXPECT_FALSE(b_.keeper.Held());
+  Advance(LeaseKeeper::kDefaultMargin);
+  b_.keeper.Step();
+  ASSERT_TRUE(b_.keeper.Held());
+  EXPECT_EQ(b_.keeper.Held()->fencing, FencingNumber(2));
+  // The old holder wakes up.
+  a_.keeper.Step();
+  EXPECT_FALSE(a_.keeper.Held());
+}
+
+TEST_F(LeaseKeeperTest, KeepsTheDutyOverALostReply) {
+  a_.keeper.Step();
+  Advance(5 * kSecond);
+  table_.SetFaults({.lose_replies = 1});
+  a_.keeper.Step();
+  Advance(5 * kSecond);
+  a_.keeper.Step();
+  ASSERT_TRUE(a_.keeper.Held());
+  EXPECT_EQ(a_.keeper.Held()->fencing, FencingNumber(1));
+  EXPECT_GT(a_.keeper.Held()->expires - a_.clock.Now(), 9 * kSecond);
+}
+
+TEST_F(LeaseKeeperTest, FreesTheDutyOnRelease) {
+  a_.keeper.Step();
+  a_.keeper.Release();
+  EXPECT_FALSE(a_.keeper.Held());
+  b_.keeper.Step();
+  ASSERT_TRUE(b_.keeper.Held());
+  EXPECT_EQ(b_.keeper.Held()->fencing, FencingNumber(2));
+}
+
+TEST_F(LeaseKeeperTest, WaitsOutItsOwnLeaseAfterARestart) {
+  a_.keeper.Step();
+  Candidate restarted("a", &table_, random_.get());
+  restarted.keeper.Step();
+  EXPECT_FALSE(restarted.keeper.Held());
+}
+
+// Three candidates with clocks that differ in rate by up to 2% either way are
+// paused and woken, while the table loses, delays and refuses writes. Never
+// do two hold the duty, and each term has a higher number.
+RC_GTEST_PROP(LeaseKeeperProperty, HasOneHolderAtAnyMoment, ()) {
+  MemoryTable table;
+  const auto random = MakeSeededRandom(*rc::gen::arbitrary<std::uint64_t>());
+  std::vector<std::unique_ptr<Candidate>> candidates;
+  for (int i = 0; i < 3; ++i) {
+    candidates.push_back(std::make_unique<Candidate>(absl::StrCat("c", i),
+                                                     &table, random.get()));
+    candidates.back()->rate = 1 + (*rc::gen::inRange(-20, 21)) / 1000.0;
+  }
+  InstanceId last_holder;
+  FencingNumber highest;
+  const int steps = *rc::gen::inRange(50, 300);
+  for (int step = 0; step < steps; ++step) {
+    const absl::Duration real = absl::Milliseconds(*rc::gen::inRange(50, 2500));
+    for (auto& candidate : candidates) {
+      candidate->clock.Advance(real * candidate->rate);
+      candidate->until_step -= real;
+    }
+    Candidate& picked = *candidates[*rc::gen::inRange<std::size_t>(0, 3)];
+    switch (*rc::gen::inRange(0, 10)) {
+      case 0:
+        picked.paused = !picked.paused;
+        break;
+      case 1:
+        table.SetFaults({.outage = *rc::gen::arbitrary<bool>(),
+                         .lose_replies = *rc::gen::inRange(0, 3)});
+        break;
+      case 2:
+        picked.late.HoldBack(*rc::gen::inRange(0, 3));
+        break;
+      case 3:
+        picked.late.ReleaseOne();
+        break;
+      case 4:
+        if (!picked.paused && *rc::gen::inRange(0, 4) == 0) {
+          picked.keeper.Release();
+        }
+        break;
+      default:
+        break;
+    }
+    for (auto& candidate : candidates) {
+      if (candidate->paused || candidate->until_step > absl::ZeroDuration()) {
+        continue;
+      }
+      candidate->until_step = candidate->keeper.Step();
+    }
+    int holders = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      const auto held = candidates[i]->keeper.Held();
+      if (!held) continue;
+      ++holders;
+      const InstanceId id(absl::StrCat("c", i));
+      RC_ASSERT(held->fencing >= highest);
+      if (held->fencing == highest) RC_ASSERT(id == last_holder);
+      highest = held->fencing;
+      last_holder = id;
+    }
+    RC_ASSERT(holders <= 1);
+  }
+  RC_CLASSIFY(highest > FencingNumber(1), "changed hands");
+}
+
+}  // namespace
+}  // namespace wisteriareel
--- a/test/membership_tests.cmake
+++ b/test/membership_tests.cmake
@@ -1,2 +1,6 @@
 wisteriareel_test(membership_test
   LIBRARIES wisteriareel_membership wisteriareel_config rapidcheck)
+wisteriareel_test(membership_lease_test
+  LIBRARIES wisteriareel_membership rapidcheck)
+wisteriareel_test(control_counts_test
+  LIBRARIES wisteriareel_membership wisteriareel_config)
