Keep a late answer out of the next one, and end a broken request's connection

Cause: bytes after an answer stayed on a connection that was then reused; a broken head was followed by whatever came after it; keys, digests and certificate files stood twice beside the security module's. Change: a connection with unread or unasked bytes isn't reused, a target's echo of another request id is no answer, an unparsable request closes its connection with a clear 4xx; first-byte timeout; the security module's digest and file options; certificates read again while running. The parser now reports bytes after the end marker and keeps the answer, which was whole at the marker; its test says so in place of the former refusal.

--- a/src/http/bounded_stream.cc
+++ b/src/http/bounded_stream.cc
@@ -72,7 +72,8 @@
 
 bool BoundedStream::WaitToRead() {
   const absl::Time now = SystemClock()->Now();
-  const absl::Time silent = now + limits_.silence;
+  const absl::Time silent = limits_.silence == nullptr ? absl::InfiniteFuture()
+                                                       : now + *limits_.silence;
   if (silent < limits_.deadline) {
     return Wait(POLLIN, silent, StreamFailure::kSilence);
   }
--- a/src/http/bounded_stream.h
+++ b/src/http/bounded_stream.h
@@ -17,8 +17,8 @@
 struct ReadLimits {
   // Reads fail after this time of SystemClock().
   absl::Time deadline = absl::InfiniteFuture();
-  // Longest wait for the next byte.
-  absl::Duration silence = absl::InfiniteDuration();
+  // Longest wait for the next byte; null for none. Read anew at each wait.
+  const absl::Duration* silence = nullptr;
   // Bytes that may still be read.
   std::uint64_t bytes = UINT64_MAX;
 };
@@ -53,8 +53,6 @@
 
   // Replaces the limits for the reads that follow.
   void LimitReads(const ReadLimits& limits) { limits_ = limits; }
-  // Replaces the longest wait for the next byte.
-  void LimitSilence(absl::Duration silence) { limits_.silence = silence; }
 
   // From now on drops what is written and reports it as written.
   void DiscardWrites() { discard_writes_ = true; }
@@ -62,6 +60,9 @@
   // Waits for the peer's next byte. Returns false if none came in time.
   bool WaitReadable(absl::Duration timeout);
 
+  // Returns true if bytes were received and not yet read.
+  bool HoldsUnreadBytes() const { return begin_ != end_; }
+
   // Returns true once the peer has closed its side. Reads no byte.
   bool PeerClosed() const;
 
--- a/src/http/chat_codec.cc
+++ b/src/http/chat_codec.cc
@@ -128,13 +128,18 @@
   return true;
 }
 
-// Several choices would each cost the output limit.
+// Each choice may cost the output limit.
 bool CheckChoices(const json& call, LastReason* reason) {
   for (const char* name : {"n", "best_of"}) {
     const auto it = call.find(name);
     if (it == call.end() || it->is_null()) continue;
-    if (it->is_number_unsigned() && it->get<std::uint64_t>() == 1) continue;
-    Fail(absl::StrCat(name, ": only 1 is taken"), reason);
+    const bool fits = it->is_number_unsigned() &&
+                      it->get<std::uint64_t>() >= 1 &&
+                      it->get<std::uint64_t>() <= kMaxChoices;
+    if (fits) continue;
+    Fail(
+        absl::StrCat(name, ": expected a whole number from 1 to ", kMaxChoices),
+        reason);
     return false;
   }
   return true;
@@ -207,6 +212,8 @@
     case Reason::kConflict:
     case Reason::kClaimHeldElsewhere:
     case Reason::kClaimInDoubt:
+    case Reason::kIdempotencyKeyReused:
+    case Reason::kAnswerNotKept:
       return 409;
     case Reason::kTooLarge:
     case Reason::kBodyTooLarge:
--- a/src/http/chat_codec.h
+++ b/src/http/chat_codec.h
@@ -15,6 +15,7 @@
 // Bounds on the JSON of a chat call.
 inline constexpr int kMaxJsonDepth = 32;
 inline constexpr std::uint32_t kMaxOutputLimit = 1'000'000;
+inline constexpr std::uint32_t kMaxChoices = 128;
 inline constexpr std::size_t kMaxModelNameBytes = 256;
 
 // What routing and charging need to know of a chat-completions body.
@@ -32,8 +33,8 @@
 
 // Parses a chat-completions body. Returns nullopt, with kMalformed and the
 // field at fault, for whatever two readers could understand differently or
-// whose cost has no bound: a key given twice, numbers out of range, several
-// choices, content that isn't text.
+// whose cost has no bound: a key given twice, numbers out of range, content
+// that isn't text.
 std::optional<ChatCall> ParseChatCall(std::string_view body,
                                       LastReason* reason);
 
--- a/src/http/client_connections.cc
+++ b/src/http/client_connections.cc
@@ -1,5 +1,7 @@
 #include "src/http/client_connections.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <chrono>
 #include <string>
@@ -12,6 +14,9 @@
 namespace wisteriareel {
 namespace {
 
+// Longest wait for a server to take bytes.
+constexpr absl::Duration kWriteTimeout = absl::Seconds(20);
+
 std::string KeyFor(const Endpoint& server) {
   return absl::StrCat(server.host, ":", server.port);
 }
@@ -48,6 +53,11 @@
 
   bool is_open() const override { return this->is_socket_open() != 0; }
 
+  bool IsQuiet() const override {
+    pollfd entry{.fd = this->socket(), .events = POLLIN, .revents = 0};
+    return is_open() && poll(&entry, 1, 0) == 0;
+  }
+
  private:
   using Socket = typename Base::Socket;
   using Callback = std::function<bool(httplib::Stream&)>;
@@ -57,13 +67,14 @@
     if constexpr (std::is_same_v<Base, httplib::SSLClient>) tls = socket.ssl;
     BoundedStream stream({.fd = socket.sock,
                           .tls = tls,
-                          .write_timeout = limits_.silence,
+                          .write_timeout = kWriteTimeout,
                           .cancelled = limits_.cancelled});
     stream.LimitReads(
         {.deadline = limits_.deadline, .silence = limits_.silence});
     const bool ok = callback(stream);
     outcome_.failure = stream.failure();
     outcome_.bytes_sent = stream.bytes_written();
+    outcome_.trailing = stream.HoldsUnreadBytes();
     return ok;
   }
 
@@ -78,16 +89,16 @@
 
 std::unique_ptr<ClientConnection> ClientConnections::Make(
     const Endpoint& server) const {
-  const TlsOptions& tls = options_.tls;
+  const TlsFiles& tls = options_.tls;
   if (!tls.enabled()) {
     return std::make_unique<BoundedClient<httplib::ClientImpl>>(server.host,
                                                                 server.port);
   }
   auto client = std::make_unique<BoundedClient<httplib::SSLClient>>(
-      server.host, server.port, tls.cert, tls.key);
+      server.host, server.port, tls.certificate_file, tls.key_file);
   // Without authorities of its own it trusts those of the system.
   client->enable_server_certificate_verification(true);
-  if (!tls.ca.empty()) client->set_ca_cert_path(tls.ca);
+  if (!tls.ca_file.empty()) client->set_ca_cert_path(tls.ca_file);
   return client;
 }
 
@@ -102,7 +113,7 @@
   if (!list.empty() && list.back().since >= oldest) {
     std::unique_ptr<ClientConnection> found = std::move(list.back().connection);
     list.pop_back();
-    return found;
+    if (found->IsQuiet()) return found;
   }
   list.clear();
   return nullptr;
@@ -140,9 +151,9 @@
   if (!fresh) connection = TakeIdle(server);
   if (connection == nullptr) connection = Make(server);
   const ClientOutcome outcome = connection->Exchange(limits, request, response);
-  if (outcome.ok) {
+  if (outcome.ok && !outcome.trailing) {
     PutIdle(server, std::move(connection));
-  } else if (outcome.reused) {
+  } else if (!outcome.ok && outcome.reused) {
     // What silenced this connection may have silenced its siblings.
     DropIdle(server);
   }
--- a/src/http/client_connections.h
+++ b/src/http/client_connections.h
@@ -13,7 +13,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "src/http/bounded_stream.h"
-#include "src/http/listener_tls.h"
+#include "src/security/tls_files.h"
 #include "wisteriareel/types.h"
 
 namespace wisteriareel {
@@ -21,8 +21,8 @@
 // What bounds one exchange of a client.
 struct ClientLimits {
   absl::Duration connect_timeout = absl::Seconds(1);
-  // Longest silence of the server.
-  absl::Duration silence = absl::Seconds(10);
+  // Longest silence of the server; null for none. Read anew at each wait.
+  const absl::Duration* silence = nullptr;
   // Time of SystemClock() at which the exchange is given up.
   absl::Time deadline = absl::InfiniteFuture();
   // Gives the exchange up once true; null for none.
@@ -39,6 +39,8 @@
   // the server received nothing.
   std::uint64_t bytes_sent = 0;
   bool reused = false;
+  // Bytes came after the answer; the connection can't be used again.
+  bool trailing = false;
 };
 
 // A connection to one server, kept open between exchanges. Not thread-safe.
@@ -52,6 +54,10 @@
                                  httplib::Request* request,
                                  httplib::Response* response) = 0;
   virtual bool is_open() const = 0;
+
+  // Returns false if the server closed the connection or sent bytes that
+  // belong to no request of ours.
+  virtual bool IsQuiet() const = 0;
 };
 
 // Idle connections per server, for reuse. Thread-safe.
@@ -63,7 +69,7 @@
     // An idle connection is not used again after this age: the other end, or
     // something between, may have dropped it.
     absl::Duration max_idle_age = absl::Seconds(3);
-    TlsOptions tls;
+    TlsFiles tls;
   };
 
   explicit ClientConnections(Options options);
--- a/src/http/guarded_server.cc
+++ b/src/http/guarded_server.cc
@@ -83,6 +83,23 @@
   return std::nullopt;
 }
 
+// Returns why a request whose bytes could not be read is refused.
+std::optional<HttpRefusal> RefusalFor(StreamFailure failure) {
+  switch (failure) {
+    case StreamFailure::kTooManyBytes:
+      return HttpRefusal{431, Reason::kHeaderTooLarge,
+                         "request head too large"};
+    case StreamFailure::kDeadline:
+    case StreamFailure::kSilence:
+      return HttpRefusal{408, Reason::kDeadlineExceeded, "request too slow"};
+    case StreamFailure::kNone:
+    case StreamFailure::kClosed:
+    case StreamFailure::kCancelled:
+      break;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 GuardedServer::GuardedServer(const HttpListenerOptions* options,
@@ -105,7 +122,9 @@
         if (!current_refusal->has_value()) {
           return HandlerResponse::Unhandled;
         }
+        // The body was not read.
         current_exchange->close = true;
+        response.set_header("Connection", "close");
         handler_->Refuse(**current_refusal, &response);
         return HandlerResponse::Handled;
       });
@@ -115,7 +134,11 @@
     HttpRefusal refusal{res.status, Reason::kMalformed, "bad request"};
     if (res.status == 413) refusal.reason = Reason::kBodyTooLarge;
     if (res.status == 414) refusal.reason = Reason::kHeaderTooLarge;
-    handler_->Refuse(refusal, &res);
+    const auto limit = RefusalFor(current_exchange->stream->failure());
+    // What follows a broken request can't be told from its rest.
+    current_exchange->close = true;
+    res.set_header("Connection", "close");
+    handler_->Refuse(limit.value_or(refusal), &res);
     return HandlerResponse::Handled;
   };
   set_error_handler(explain);
@@ -277,20 +300,12 @@
 }
 
 void GuardedServer::AnswerBrokenRequest(BoundedStream* stream) {
-  HttpRefusal refusal;
-  switch (stream->failure()) {
-    case StreamFailure::kTooManyBytes:
-      refusal = {431, Reason::kHeaderTooLarge, "request head too large"};
-      break;
-    case StreamFailure::kDeadline:
-    case StreamFailure::kSilence:
-      refusal = {408, Reason::kDeadlineExceeded, "request too slow"};
-      break;
-    case StreamFailure::kNone:
-    case StreamFailure::kClosed:
-    case StreamFailure::kCancelled:
-      return;
-  }
+  const std::optional<HttpRefusal> refusal = RefusalFor(stream->failure());
+  if (refusal) AnswerDirectly(*refusal, stream);
+}
+
+void GuardedServer::AnswerDirectly(const HttpRefusal& refusal,
+                                   BoundedStream* stream) {
   httplib::Response response;
   handler_->Refuse(refusal, &response);
   response.set_header("Connection", "close");
@@ -301,19 +316,12 @@
 }
 
 void GuardedServer::RefuseConnection(int fd) {
-  const HttpRefusal refusal{503, Reason::kConnectionLimit,
-                            "too many connections"};
-  httplib::Response response;
-  handler_->Refuse(refusal, &response);
-  if (!options_.tls.enabled()) {
-    BoundedStream stream({.fd = fd, .write_timeout = kLinger});
-    response.set_header("Connection", "close");
-    response.set_header("Content-Length", std::to_string(response.body.size()));
-    const std::string bytes = absl::StrCat(
-        SerializeHead(response.status, response.headers), response.body);
-    stream.WriteAll(bytes.data(), bytes.size());
-    CloseGently(fd);
-  }
+  // A TLS handshake would hold the thread that refuses.
+  if (options_.tls.enabled()) return;
+  BoundedStream stream({.fd = fd, .write_timeout = kLinger});
+  AnswerDirectly({503, Reason::kConnectionLimit, "too many connections"},
+                 &stream);
+  CloseGently(fd);
 }
 
 std::size_t GuardedServer::WaitForConnections(absl::Duration timeout) {
--- a/src/http/guarded_server.h
+++ b/src/http/guarded_server.h
@@ -46,6 +46,7 @@
   void RefuseConnection(int fd);
   // Answers a request that broke a limit before it was parsed.
   void AnswerBrokenRequest(BoundedStream* stream);
+  void AnswerDirectly(const HttpRefusal& refusal, BoundedStream* stream);
   bool WaitForRequest(BoundedStream* stream) const;
   bool KeepsAlive() const;
   bool Handshake(SSL* tls, int fd) const;
--- a/src/http/http_answer_writer.cc
+++ b/src/http/http_answer_writer.cc
@@ -2,7 +2,6 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "absl/strings/string_view.h"
 #include "src/http/chat_codec.h"
 #include "src/http/http_target_client.h"
--- a/src/http/http_listener.cc
+++ b/src/http/http_listener.cc
@@ -58,6 +58,14 @@
   if (!server_->Bind(&port_, reason)) return false;
   accept_thread_ = std::thread([this] { server_->listen_after_bind(); });
   while (!server_->is_running()) SystemClock()->Sleep(kStartPoll);
+  if (options_.tls.enabled()) {
+    tls_reloader_ = std::make_unique<BackgroundLoop>([this] {
+      // Files that don't fit together yet are read again the next time.
+      LastReason ignored;
+      server_->ReloadTls(&ignored);
+      return options_.tls.reload;
+    });
+  }
   return true;
 }
 
@@ -65,6 +73,7 @@
 
 std::size_t HttpListener::Stop(absl::Duration grace) {
   if (!accept_thread_.joinable()) return 0;
+  tls_reloader_.reset();
   server_->BeginDrain();
   server_->stop();
   std::size_t cut = 0;
--- a/src/http/http_listener.h
+++ b/src/http/http_listener.h
@@ -13,7 +13,8 @@
 
 #include "absl/time/time.h"
 #include "src/http/bounded_stream.h"
-#include "src/http/listener_tls.h"
+#include "src/security/tls_files.h"
+#include "wisteriareel/background_loop.h"
 #include "wisteriareel/reason.h"
 #include "wisteriareel/types.h"
 
@@ -45,7 +46,7 @@
   // Port zero binds a free one.
   Endpoint endpoint;
   HttpLimits limits;
-  TlsOptions tls;
+  TlsFiles tls;
   // Connections that the kernel holds until they are accepted.
   int backlog = 4096;
 };
@@ -117,7 +118,8 @@
   // them. Returns how many connections were cut. Idempotent.
   std::size_t Stop(absl::Duration grace);
 
-  // Reads certificate and key again, for new connections.
+  // Reads certificate and key again, for new connections. Also done every
+  // tls.reload.
   bool ReloadTls(LastReason* reason);
 
   // Returns how many connections are open.
@@ -127,6 +129,7 @@
   const HttpListenerOptions options_;
   std::unique_ptr<GuardedServer> server_;
   std::thread accept_thread_;
+  std::unique_ptr<BackgroundLoop> tls_reloader_;
   int port_ = 0;
 };
 
--- a/src/http/http_target_client.cc
+++ b/src/http/http_target_client.cc
@@ -12,28 +12,44 @@
 namespace wisteriareel {
 namespace {
 
+constexpr int kOkStatus = 200;
 constexpr int kFirstErrorStatus = 400;
+// Longest wait for the connection's end once the answer is whole.
+constexpr absl::Duration kTailTimeout = absl::Milliseconds(50);
 
 // Takes in one answer and judges its end.
 class AnswerReader {
  public:
   AnswerReader(const TargetCall& call, TargetSink* sink,
                std::uint64_t max_bytes)
-      : call_(call), sink_(sink), max_bytes_(max_bytes) {}
+      : call_(call),
+        sink_(sink),
+        max_bytes_(max_bytes),
+        silence_(call.first_byte_timeout > absl::ZeroDuration()
+                     ? call.first_byte_timeout
+                     : call.progress_timeout) {}
+
+  // Longest silence that is borne now.
+  const absl::Duration* silence() const { return &silence_; }
 
   bool OnHead(const httplib::Response& head) {
+    const std::string echoed = head.get_header_value(kRequestIdHeader);
+    // A late answer to an earlier request on the same connection.
+    if (!echoed.empty() && echoed != call_.request.value()) return false;
     status_ = head.status;
     said_not_run_ = head.get_header_value(kNotRunHeader) == "true";
     // Without either, a broken connection looks like the end.
     has_end_ = head.has_header("Content-Length") ||
                head.has_header("Transfer-Encoding");
     const std::string type = head.get_header_value("Content-Type");
-    events_ = absl::StartsWithIgnoreCase(type, "text/event-stream");
+    events_ = call_.streamed && status_ == kOkStatus &&
+              absl::StartsWithIgnoreCase(type, "text/event-stream");
     sink_->OnHead(status_, type);
     return true;
   }
 
   bool OnBytes(std::string_view bytes) {
+    silence_ = call_.progress_timeout;
     if (!events_) {
       if (delivered_ + bytes.size() > max_bytes_) return false;
       const std::uint64_t position = delivered_;
@@ -44,7 +60,11 @@
       return sink_->OnData(call_.resume_offset + delivered_++, event);
     };
     const SseParser::State state = parser_.Feed(bytes, receive);
-    return state == SseParser::State::kOpen || state == SseParser::State::kDone;
+    if (state == SseParser::State::kDone) {
+      silence_ = kTailTimeout;
+      return !parser_.trailing();
+    }
+    return state == SseParser::State::kOpen;
   }
 
   // Returns how the attempt ended.
@@ -93,6 +113,7 @@
   const TargetCall& call_;
   TargetSink* const sink_;
   const std::uint64_t max_bytes_;
+  absl::Duration silence_;
   SseParser parser_;
   int status_ = 0;
   bool said_not_run_ = false;
@@ -142,7 +163,7 @@
   const ClientOutcome sent =
       connections_.Exchange(call.endpoint, call.fresh_connection,
                             {.connect_timeout = call.connect_timeout,
-                             .silence = call.progress_timeout,
+                             .silence = reader.silence(),
                              .deadline = call.deadline,
                              .cancelled = &cancelled},
                             &request, &response);
@@ -161,7 +182,7 @@
   connections_.Exchange(
       call.endpoint, /*fresh=*/true,
       {.connect_timeout = options_.cancel_timeout,
-       .silence = options_.cancel_timeout,
+       .silence = &options_.cancel_timeout,
        .deadline = SystemClock()->Now() + options_.cancel_timeout},
       &request, &response);
 }
--- a/src/http/listener_tls.cc
+++ b/src/http/listener_tls.cc
@@ -13,32 +13,32 @@
   return false;
 }
 
-bool LoadFiles(const TlsOptions& options, SSL_CTX* context,
-               LastReason* reason) {
-  if (!options.cert.empty()) {
-    if (SSL_CTX_use_certificate_chain_file(context, options.cert.c_str()) !=
-        1) {
-      return Fail("can't use certificate", options.cert, reason);
+bool LoadFiles(const TlsFiles& options, SSL_CTX* context, LastReason* reason) {
+  if (!options.certificate_file.empty()) {
+    if (SSL_CTX_use_certificate_chain_file(
+            context, options.certificate_file.c_str()) != 1) {
+      return Fail("can't use certificate", options.certificate_file, reason);
     }
-    if (SSL_CTX_use_PrivateKey_file(context, options.key.c_str(),
+    if (SSL_CTX_use_PrivateKey_file(context, options.key_file.c_str(),
                                     SSL_FILETYPE_PEM) != 1) {
-      return Fail("can't use key", options.key, reason);
+      return Fail("can't use key", options.key_file, reason);
     }
     if (SSL_CTX_check_private_key(context) != 1) {
-      return Fail("key doesn't match the certificate", options.key, reason);
+      return Fail("key doesn't match the certificate", options.key_file,
+                  reason);
     }
   }
-  if (options.ca.empty()) return true;
-  if (SSL_CTX_load_verify_locations(context, options.ca.c_str(), nullptr) !=
-      1) {
-    return Fail("can't use authorities", options.ca, reason);
+  if (options.ca_file.empty()) return true;
+  if (SSL_CTX_load_verify_locations(context, options.ca_file.c_str(),
+                                    nullptr) != 1) {
+    return Fail("can't use authorities", options.ca_file, reason);
   }
   return true;
 }
 
 }  // namespace
 
-ListenerTls::ListenerTls(TlsOptions options) : options_(std::move(options)) {}
+ListenerTls::ListenerTls(TlsFiles options) : options_(std::move(options)) {}
 
 bool ListenerTls::Reload(LastReason* reason) {
   std::shared_ptr<SSL_CTX> next(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
@@ -47,7 +47,7 @@
   SSL_CTX_set_mode(next.get(), SSL_MODE_ENABLE_PARTIAL_WRITE |
                                    SSL_MODE_ACCEPT_MOVING_WRITE_BUFFER);
   if (!LoadFiles(options_, next.get(), reason)) return false;
-  if (!options_.ca.empty()) {
+  if (!options_.ca_file.empty()) {
     SSL_CTX_set_verify(
         next.get(), SSL_VERIFY_PEER | SSL_VERIFY_FAIL_IF_NO_PEER_CERT, nullptr);
   }
--- a/src/http/listener_tls.h
+++ b/src/http/listener_tls.h
@@ -7,31 +7,17 @@
 #include <mutex>
 #include <string>
 
+#include "src/security/tls_files.h"
 #include "wisteriareel/reason.h"
 
 namespace wisteriareel {
 
-// Files that a TLS listener or client uses, in PEM. TLS is off if all are
-// empty.
-struct TlsOptions {
-  // Certificate chain and private key; required for a listener.
-  std::string cert;
-  std::string key;
-  // Authorities that the peer's certificate must come from. At a listener an
-  // empty value asks callers for no certificate.
-  std::string ca;
-
-  bool enabled() const { return !cert.empty() || !ca.empty(); }
-
-  friend bool operator==(const TlsOptions&, const TlsOptions&) = default;
-};
-
 // Holds a listener's TLS context made from files and makes it anew on Reload;
 // connections that are open keep the context that they began with.
 // Thread-safe. Clients need none of it: each new connection reads its files.
 class ListenerTls {
  public:
-  explicit ListenerTls(TlsOptions options);
+  explicit ListenerTls(TlsFiles options);
 
   // Reads the files. Returns false, and keeps the former context, if they
   // don't fit together.
@@ -41,7 +27,7 @@
   std::shared_ptr<SSL_CTX> Current() const;
 
  private:
-  const TlsOptions options_;
+  const TlsFiles options_;
   mutable std::mutex mutex_;
   std::shared_ptr<SSL_CTX> current_;
 };
--- a/src/http/sse_parser.cc
+++ b/src/http/sse_parser.cc
@@ -58,7 +58,7 @@
 
 SseParser::State SseParser::Feed(std::string_view bytes,
                                  const Receiver& receiver) {
-  if (state_ == State::kDone && !bytes.empty()) state_ = State::kBroken;
+  if (state_ == State::kDone && !bytes.empty()) trailing_ = true;
   if (state_ != State::kOpen) return state_;
   held_.append(bytes);
   std::string_view rest = held_;
@@ -68,7 +68,10 @@
     if (!Take(rest.substr(0, size), receiver)) return state_;
     rest.remove_prefix(size);
   }
-  if (state_ == State::kDone && !rest.empty()) state_ = State::kBroken;
+  if (state_ == State::kDone) {
+    trailing_ = !rest.empty();
+    rest = {};
+  }
   if (rest.size() > max_event_bytes_) state_ = State::kBroken;
   held_.erase(0, held_.size() - rest.size());
   return state_;
--- a/src/http/sse_parser.h
+++ b/src/http/sse_parser.h
@@ -21,7 +21,7 @@
     kOpen,
     // The end marker was seen.
     kDone,
-    // An event exceeds the limit, or bytes follow the end marker.
+    // An event exceeds the limit.
     kBroken,
     // The receiver wants no more.
     kStopped,
@@ -41,6 +41,9 @@
 
   State state() const { return state_; }
 
+  // Returns true if bytes came after the end marker. They were dropped.
+  bool trailing() const { return trailing_; }
+
  private:
   static constexpr std::size_t kMaxEventBytes = 1 << 20;
 
@@ -51,6 +54,7 @@
 
   const std::size_t max_event_bytes_;
   State state_ = State::kOpen;
+  bool trailing_ = false;
   std::string held_;
   // Bytes of the unfinished event that are known to hold no end.
   std::size_t searched_ = 0;
