--- /dev/null
+++ b/daemons/wisteriareel_load.cc
@@ -0,0 +1,168 @@
+#include <docopt/docopt.h>
+
+#include <cstdio>
+#include <exception>
+#include <fstream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "standin/load_run.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr char kUsage[] =
+    R"(wisteriareel-load: sends chat calls through entry instances to stand-in
+engines and checks that each answer is whole and belongs to its prompt.
+
+Usage:
+  wisteriareel-load --servers=LIST --key=KEY [--model=NAME] [--rate=N]
+                    [--concurrency=N] [--streamed=SHARE] [--duration=S]
+                    [--requests=N] [--max-tokens=N] [--prompt-bytes=N]
+                    [--timeout=S] [--seed=N] [--ca=FILE] [--report=FILE]
+  wisteriareel-load (-h | --help)
+  wisteriareel-load --version
+
+Options:
+  --servers=LIST      HOST:PORT of entry instances, comma-separated.
+  --key=KEY           API key of the customer.
+  --model=NAME        Model to call [default: small].
+  --rate=N            Requests started a second; 0 for as fast as they end
+                      [default: 0].
+  --concurrency=N     Requests open at once [default: 8].
+  --streamed=SHARE    Share of requests that ask for a stream [default: 1].
+  --duration=S        Seconds after which none is started [default: 10].
+  --requests=N        Number after which none is started; 0 for no limit
+                      [default: 0].
+  --max-tokens=N      Output limit of each request [default: 16].
+  --prompt-bytes=N    Bytes added to each prompt [default: 64].
+  --timeout=S         Longest time of one request, in seconds [default: 60].
+  --seed=N            Seed of the prompts [default: 1].
+  --ca=FILE           Use TLS and trust these authorities.
+  --report=FILE       Write the report as JSON as well.
+  -h --help           Show this.
+  --version           Show the version.
+
+Exit codes: 0 no answer was wrong, 1 an answer looked whole and was not, or
+the report can't be written, 2 bad command line.
+)";
+
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+// Keeps a run within the memory and threads of one machine.
+constexpr int kMaxConcurrency = 4096;
+
+using Arguments = std::map<std::string, docopt::value>;
+
+// Reads arguments and notes the first that is wrong.
+class ArgumentReader {
+ public:
+  explicit ArgumentReader(const Arguments& arguments) : arguments_(arguments) {}
+
+  double Number(const char* name, double least, double most) {
+    const std::string text = arguments_.at(name).asString();
+    double number = 0;
+    if (absl::SimpleAtod(text, &number) && number >= least && number <= most) {
+      return number;
+    }
+    Fail(absl::StrCat(name, ": expected a number from ", least, " to ", most));
+    return least;
+  }
+
+  std::vector<Endpoint> Endpoints(const char* name) {
+    std::vector<Endpoint> endpoints;
+    const std::string list = arguments_.at(name).asString();
+    for (const auto& entry : absl::StrSplit(list, ',')) {
+      const std::vector<std::string> parts = absl::StrSplit(entry, ':');
+      int port = 0;
+      if (parts.size() != 2 || !absl::SimpleAtoi(parts[1], &port) || port < 1 ||
+          port > UINT16_MAX) {
+        Fail(absl::StrCat(name, ": expected HOST:PORT, got ", entry));
+        continue;
+      }
+      endpoints.push_back({parts[0], static_cast<std::uint16_t>(port)});
+    }
+    return endpoints;
+  }
+
+  std::string Text(const char* name) const {
+    const docopt::value& argument = arguments_.at(name);
+    return argument.isString() ? argument.asString() : "";
+  }
+
+  const std::string& error() const { return error_; }
+
+ private:
+  void Fail(std::string error) {
+    if (error_.empty()) error_ = std::move(error);
+  }
+
+  const Arguments& arguments_;
+  std::string error_;
+};
+
+LoadOptions ReadOptions(ArgumentReader* reader) {
+  LoadOptions options;
+  options.servers = reader->Endpoints("--servers");
+  options.key = reader->Text("--key");
+  options.model = reader->Text("--model");
+  options.rate = reader->Number("--rate", 0, 1e6);
+  options.concurrency =
+      static_cast<int>(reader->Number("--concurrency", 1, kMaxConcurrency));
+  options.streamed_share = reader->Number("--streamed", 0, 1);
+  options.duration = absl::Seconds(reader->Number("--duration", 0, 86'400));
+  options.max_requests =
+      static_cast<std::uint64_t>(reader->Number("--requests", 0, 1e9));
+  options.max_tokens = static_cast<int>(reader->Number("--max-tokens", 1, 1e6));
+  options.prompt_bytes =
+      static_cast<int>(reader->Number("--prompt-bytes", 0, 1e6));
+  options.request_timeout =
+      absl::Seconds(reader->Number("--timeout", 0.001, 86'400));
+  options.seed = static_cast<std::uint64_t>(reader->Number("--seed", 0, 1e15));
+  options.tls.ca_file = reader->Text("--ca");
+  return options;
+}
+
+int Run(int argc, char** argv) {
+  Arguments arguments;
+  try {
+    arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc});
+  } catch (const docopt::DocoptExitHelp&) {
+    std::fputs(kUsage, stdout);
+    return 0;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::puts("wisteriareel-load " WISTERIAREEL_VERSION);
+    return 0;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\nsee --help\n", error.what());
+    return kExitUsage;
+  }
+  ArgumentReader reader(arguments);
+  const LoadOptions options = ReadOptions(&reader);
+  if (!reader.error().empty()) {
+    std::fprintf(stderr, "%s\n", reader.error().c_str());
+    return kExitUsage;
+  }
+  const LoadReport report = RunLoad(options);
+  std::fputs(report.ToText().c_str(), stdout);
+  const std::string file = reader.Text("--report");
+  if (!file.empty()) {
+    std::ofstream out(file);
+    out << report.ToJson().dump(2) << "\n";
+    out.close();
+    if (!out) {
+      std::fprintf(stderr, "can't write %s\n", file.c_str());
+      return kExitFailure;
+    }
+  }
+  return report.wrong == 0 ? 0 : kExitFailure;
+}
+
+}  // namespace
+}  // namespace wisteriareel
+
+int main(int argc, char** argv) { return wisteriareel::Run(argc, argv); }
--- a/daemons/wisteriareel_standin.cc
+++ b/daemons/wisteriareel_standin.cc
@@ -35,6 +35,7 @@
                        [--host=HOST] [--instances=FILE] [--models=NAMES]
                        [--token-interval-ms=MS] [--max-batch=N]
                        [--cache-entries=N] [--ignore-fencing]
+                       [--stamp-events]
   wisteriareel-standin (-h | --help)
   wisteriareel-standin --version
 
@@ -49,6 +50,7 @@
   --max-batch=N           Sequences that advance together [default: 256].
   --cache-entries=N       Prefixes that an engine keeps [default: 64].
   --ignore-fencing        Engines take orders with old fencing numbers.
+  --stamp-events          Engines put the time of sending into each event.
   -h --help               Show this.
   --version               Show the version.
 
@@ -138,6 +140,7 @@
     options->token_interval = absl::Milliseconds(interval_ms);
     options->cache_entries = static_cast<std::size_t>(cache_entries);
     options->checks_fencing = !arguments.at("--ignore-fencing").asBool();
+    options->stamp_events = arguments.at("--stamp-events").asBool();
     options->models.clear();
     for (const auto& name :
          absl::StrSplit(arguments.at("--models").asString(), ',')) {
--- a/standin/model_engine.cc
+++ b/standin/model_engine.cc
@@ -62,8 +62,10 @@
 struct ModelEngine::Sequence {
   HttpExchange* exchange = nullptr;
   EngineText text{""};
+  std::string id;
   std::string model;
   bool streamed = false;
+  bool stamped = false;
   Priority priority = Priority::kNormal;
   std::uint64_t resume_offset = 0;
   std::uint64_t length = 0;
@@ -99,7 +101,9 @@
     json choice = {{"index", 0},
                    {"delta", {{"content", text.Token(index)}}},
                    {"finish_reason", nullptr}};
-    return Wrap({{"choices", json::array({std::move(choice)})}});
+    json body = {{"choices", json::array({std::move(choice)})}};
+    if (stamped) body["sent_us"] = absl::ToUnixMicros(SystemClock()->Now());
+    return Wrap(std::move(body));
   }
   std::string LastEvent() const {
     json choice = {{"index", 0},
@@ -187,6 +191,7 @@
   sequence.text = EngineText(LastMessage(json::parse(request.body)));
   sequence.model = call->model.value();
   sequence.streamed = call->streamed;
+  sequence.stamped = options_.stamp_events;
   sequence.arrived = SystemClock()->Now();
   sequence.length = sequence.text.natural_length();
   if (call->output_limit) {
@@ -201,11 +206,11 @@
   const auto rank = request.get_header_value<std::uint64_t>(kPriorityHeader);
   sequence.priority =
       static_cast<Priority>(std::min<std::uint64_t>(rank, kPriorityCount - 1));
-  const std::string id = request.get_header_value(kRequestIdHeader);
+  sequence.id = request.get_header_value(kRequestIdHeader);
   auto entry = running_.end();
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    entry = running_.emplace(id, sequence.cancelled);
+    entry = running_.emplace(sequence.id, sequence.cancelled);
   }
   Generate(&sequence, response);
   std::lock_guard<std::mutex> lock(mutex_);
@@ -290,6 +295,7 @@
   exchange->answered = true;
   const std::string head =
       SerializeHead(200, {{"Content-Type", "text/event-stream"},
+                          {kRequestIdHeader, sequence->id},
                           {"Transfer-Encoding", "chunked"},
                           {"Cache-Control", "no-cache"}});
   const bool whole = exchange->stream->WriteAll(head.data(), head.size()) &&
--- a/standin/model_engine.h
+++ b/standin/model_engine.h
@@ -26,6 +26,8 @@
   int max_batch = 256;
   // Prefixes kept.
   std::size_t cache_entries = 64;
+  // Puts the time of sending into each event, in microseconds.
+  bool stamp_events = false;
   // Refuses orders with an old fencing number.
   bool checks_fencing = true;
 };
