Name the test's members and reserve its threads as the linter asks

Cause: the linter refuses private members without a trailing underscore and growth of a vector in a loop. Change: two renames and one reserve. Conclusion: no change of behaviour.

--- a/standin/load_run.cc
+++ b/standin/load_run.cc
@@ -301,6 +301,7 @@
   std::vector<LoadReport> reports(
       static_cast<std::size_t>(options.concurrency));
   std::vector<std::thread> threads;
+  threads.reserve(reports.size());
   for (LoadReport& report : reports) {
     threads.emplace_back([&] {
       while (const auto number = schedule.Next()) {
--- a/test/http_caller_server_test.cc
+++ b/test/http_caller_server_test.cc
@@ -37,15 +37,15 @@
                     AnswerWriter* writer) override {
     ++calls;
     {
-      std::lock_guard<std::mutex> lock(mutex);
-      last = request;
+      std::lock_guard<std::mutex> lock(mutex_);
+      last_ = request;
     }
     return answer(writer);
   }
 
   CallerRequest Last() {
-    std::lock_guard<std::mutex> lock(mutex);
-    return last;
+    std::lock_guard<std::mutex> lock(mutex_);
+    return last_;
   }
 
   static CallResult AnswerWhole(AnswerWriter* writer) {
@@ -59,8 +59,8 @@
   std::function<CallResult(AnswerWriter*)> answer = AnswerWhole;
 
  private:
-  std::mutex mutex;
-  CallerRequest last;
+  std::mutex mutex_;
+  CallerRequest last_;
 };
 
 class CallerServerTest : public testing::Test {
