Queue requests by priority and customer, and shed early what can't be served

A class may start work only while it and the classes below leave those above their share of the capacity; waiting classes and customers take weighted turns. Refusals name the limit and say when to come back.

--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -41,8 +41,10 @@
   // Blocks while the request is queued, up to its deadline.
   virtual AdmissionReply Enter(const AdmissionRequest& request) = 0;
 
-  // Ends the stay of an admitted request. Called once per admission.
-  virtual void Leave(const AdmissionRequest& request) = 0;
+  // Ends the stay of an admitted request that took `stayed`. Called once per
+  // admission.
+  virtual void Leave(const AdmissionRequest& request,
+                     absl::Duration stayed) = 0;
 };
 
 }  // namespace wisteriareel
--- /dev/null
+++ b/src/request/admission_gate.h
@@ -0,0 +1,63 @@
+#ifndef WISTERIAREEL_SRC_REQUEST_ADMISSION_GATE_H_
+#define WISTERIAREEL_SRC_REQUEST_ADMISSION_GATE_H_
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "src/request/admission.h"
+#include "src/request/admission_queue.h"
+#include "wisteriareel/clock.h"
+
+namespace wisteriareel {
+
+struct AdmissionGateOptions {
+  AdmissionQueueOptions queue;
+  Clock* clock = SystemClock();
+};
+
+// Lets callers' threads wait for their turn at an AdmissionQueue per pool.
+// Thread-safe; no lock is shared by the waits of two pools.
+class AdmissionGate final : public Admission {
+ public:
+  explicit AdmissionGate(const AdmissionGateOptions& options)
+      : options_(options) {}
+
+  AdmissionGate(const AdmissionGate&) = delete;
+  AdmissionGate& operator=(const AdmissionGate&) = delete;
+
+  AdmissionReply Enter(const AdmissionRequest& request) override;
+  void Leave(const AdmissionRequest& request, absl::Duration stayed) override;
+
+  // Returns how many requests wait for the pool.
+  int Queued(const PoolId& pool);
+
+ private:
+  struct Waiter {
+    std::condition_variable admitted_changed;
+    bool admitted = false;
+  };
+  struct PoolQueue {
+    explicit PoolQueue(const AdmissionQueueOptions& options) : queue(options) {}
+
+    std::mutex mutex;
+    AdmissionQueue queue;
+    absl::flat_hash_map<AdmissionTicket, Waiter*> waiters;
+  };
+
+  PoolQueue& QueueOf(const PoolId& pool);
+  AdmissionReply Await(PoolQueue* pool, std::unique_lock<std::mutex>* lock,
+                       const AdmissionRequest& request, AdmissionTicket ticket);
+  void AdmitWaiting(PoolQueue* pool);
+
+  const AdmissionGateOptions options_;
+  // Guards the map, not the queues in it.
+  std::mutex mutex_;
+  absl::flat_hash_map<PoolId, std::unique_ptr<PoolQueue>> pools_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_REQUEST_ADMISSION_GATE_H_
--- a/src/request/request_run.cc
+++ b/src/request/request_run.cc
@@ -37,7 +37,9 @@
   ConsultEarlierCalls();
   Settle();
   SettleClaim();
-  if (admission_) options_.admission->Leave(*admission_);
+  if (admission_) {
+    options_.admission->Leave(*admission_, options_.clock->Now() - admitted_);
+  }
   return result_;
 }
 
@@ -120,6 +122,7 @@
     return Fail(reply.reason);
   }
   admission_ = std::move(admission);
+  admitted_ = options_.clock->Now();
   return true;
 }
 
@@ -176,6 +179,7 @@
 
 NextAction RequestRun::Attempt() {
   ++attempts_;
+  attempt_begun_ = options_.clock->Now();
   const std::uint64_t delivered_before = relay_->delivered();
   const TargetCall call = MakeCall();
   TargetSink* sink = relay_->BeginAttempt();
--- a/src/request/request_run.h
+++ b/src/request/request_run.h
@@ -81,6 +81,7 @@
   Tokens worst_case_;
 
   std::optional<AdmissionRequest> admission_;
+  absl::Time admitted_;
   std::optional<Claim> claim_;
   std::optional<Reservation> reservation_;
   std::unique_ptr<AnswerRelay> relay_;
@@ -88,6 +89,7 @@
   std::optional<PickedTarget> target_;
   std::vector<TargetId> avoided_;
   int attempts_ = 0;
+  absl::Time attempt_begun_;
   int fruitless_resumes_ = 0;
   bool resuming_ = false;
   bool whole_ = false;
--- a/src/request/request_run_claim.cc
+++ b/src/request/request_run_claim.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "src/request/content_hash.h"
+#include "src/base/content_hash.h"
 #include "src/request/request_run.h"
 
 namespace wisteriareel {
--- a/test/request_tests.cmake
+++ b/test/request_tests.cmake
@@ -5,3 +5,6 @@
                               rapidcheck rapidcheck_gtest)
             wisteriareel_test(request_row_batcher_test THREADED LIBRARIES
                                   wisteriareel_request)
+                wisteriareel_test(
+                    request_admission_test THREADED LIBRARIES
+                        wisteriareel_request rapidcheck rapidcheck_gtest)
