Choose targets by zone, prefix, corrected load and health

What a lagging report says of a target beyond its pool's mean fades with the report's age over the time that requests stay, so that instances don't herd.

--- a/src/base/content_hash.h
+++ b/src/base/content_hash.h
@@ -1,5 +1,5 @@
-#ifndef WISTERIAREEL_SRC_REQUEST_CONTENT_HASH_H_
-#define WISTERIAREEL_SRC_REQUEST_CONTENT_HASH_H_
+#ifndef WISTERIAREEL_SRC_BASE_CONTENT_HASH_H_
+#define WISTERIAREEL_SRC_BASE_CONTENT_HASH_H_
 
 #include <cstdint>
 #include <string_view>
@@ -32,4 +32,4 @@
 
 }  // namespace wisteriareel
 
-#endif  // WISTERIAREEL_SRC_REQUEST_CONTENT_HASH_H_
+#endif  // WISTERIAREEL_SRC_BASE_CONTENT_HASH_H_
--- a/src/routing/fleet_selector.cc
+++ b/src/routing/fleet_selector.cc
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <utility>
-#include <variant>
+
+#include "absl/strings/str_cat.h"
 
 namespace wisteriareel {
 namespace {
 
+// Targets that turn out to be leaving after they were chosen.
+constexpr int kMaxPicks = 4;
+
 const RoutedTarget* FindTarget(const PoolRoutes& routes, const TargetId& id) {
   const auto it = std::lower_bound(
       routes.targets.begin(), routes.targets.end(), id,
@@ -15,12 +19,29 @@
   return &*it;
 }
 
+const PoolRoutes* FindRoutes(const RoutingTable& table, const PoolId& pool) {
+  const auto it = table.pools.find(pool);
+  return it == table.pools.end() ? nullptr : &it->second;
+}
+
 bool Contains(const std::vector<TargetId>& ids, const TargetId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-PickedTarget Picked(const RoutedTarget& target) {
-  target.state->Begin();
+bool IsFull(const PoolRoutes& routes, const RoutedTarget& target) {
+  return target.state->in_flight() >= routes.max_in_flight_per_target;
+}
+
+Reason WhyNone(const PoolRoutes& routes) {
+  for (const RoutedTarget& target : routes.targets) {
+    if (!target.leaving && IsFull(routes, target))
+      return Reason::kPoolSaturated;
+  }
+  return Reason::kNoTargetAvailable;
+}
+
+PickedTarget Start(const RoutedTarget& target, absl::Time now) {
+  target.state->Begin(now);
   return {.id = target.id, .endpoint = target.endpoint, .zone = target.zone};
 }
 
@@ -32,105 +53,154 @@
 }
 
 std::optional<PickedTarget> FleetSelector::Pick(const PickQuery& query,
-                                                absl::Time /*now*/,
+                                                absl::Time now,
                                                 LastReason* reason) {
   const std::shared_ptr<const RoutingTable> table = Current();
-  const auto it = table->pools.find(query.pool);
-  const RoutedTarget* best = nullptr;
-  if (it != table->pools.end()) {
-    for (const bool avoid : {true, false}) {
-      for (const RoutedTarget& target : it->second.targets) {
-        if (target.leaving) continue;
-        if (avoid && Contains(query.avoided, target.id)) continue;
-        if (best != nullptr &&
-            best->state->in_flight() <= target.state->in_flight()) {
-          continue;
-        }
-        best = &target;
-      }
-      if (best != nullptr) break;
-    }
-  }
-  if (best == nullptr) {
+  const PoolRoutes* routes = FindRoutes(*table, query.pool);
+  if (routes == nullptr) {
     reason->Set(Reason::kNoTargetAvailable, query.pool.value());
     return std::nullopt;
   }
-  return Picked(*best);
+  std::vector<TargetId> leaving;
+  for (int i = 0; i < kMaxPicks; ++i) {
+    const RoutedTarget* chosen = Choose(*routes, query, leaving, now);
+    if (chosen == nullptr) break;
+    if (LeavingNow(chosen->id)) {
+      leaving.push_back(chosen->id);
+      continue;
+    }
+    if (query.prefix_hash != 0) {
+      routes->state->hints.Remember(query.prefix_hash, chosen->id, now);
+    }
+    return Start(*chosen, now);
+  }
+  reason->Set(WhyNone(*routes), query.pool.value());
+  return std::nullopt;
+}
+
+// Prefers targets that the request hasn't given up on and that aren't ejected,
+// but uses any that isn't leaving before it gives up.
+const RoutedTarget* FleetSelector::Choose(const PoolRoutes& routes,
+                                          const PickQuery& query,
+                                          const std::vector<TargetId>& leaving,
+                                          absl::Time now) const {
+  Exclusions exclusions{.avoided = query.avoided, .leaving = leaving};
+  std::vector<Candidate> candidates = Eligible(routes, exclusions, now);
+  if (candidates.empty()) {
+    exclusions.avoided.clear();
+    candidates = Eligible(routes, exclusions, now);
+  }
+  if (candidates.empty()) {
+    exclusions.ejected = false;
+    candidates = Eligible(routes, exclusions, now);
+  }
+  if (candidates.empty()) return nullptr;
+  EstimateLoads(&candidates, routes.state->MeanStay(), now);
+  const std::vector<Candidate> near = NearestUnsaturated(
+      options_.choice, candidates, routes.max_in_flight_per_target);
+  const bool by_prefix =
+      routes.kind == PoolKind::kModel && query.prefix_hash != 0;
+  if (!by_prefix) return LessLoadedOfTwo(near, options_.random).target;
+  return ChooseByPrefix(options_.choice, near, query.prefix_hash,
+                        routes.state->hints.Find(query.prefix_hash, now))
+      .target;
+}
+
+std::vector<Candidate> FleetSelector::Eligible(const PoolRoutes& routes,
+                                               const Exclusions& exclusions,
+                                               absl::Time now) {
+  std::vector<Candidate> eligible;
+  eligible.reserve(routes.targets.size());
+  for (const RoutedTarget& target : routes.targets) {
+    if (target.leaving || IsFull(routes, target)) continue;
+    if (exclusions.ejected && target.state->Ejected(now)) continue;
+    if (Contains(exclusions.avoided, target.id)) continue;
+    if (Contains(exclusions.leaving, target.id)) continue;
+    eligible.push_back({.target = &target});
+  }
+  return eligible;
 }
 
 std::optional<PickedTarget> FleetSelector::PickSame(const PoolId& pool,
                                                     const TargetId& target) {
   const std::shared_ptr<const RoutingTable> table = Current();
-  const auto it = table->pools.find(pool);
-  if (it == table->pools.end()) return std::nullopt;
-  const RoutedTarget* found = FindTarget(it->second, target);
+  const PoolRoutes* routes = FindRoutes(*table, pool);
+  if (routes == nullptr) return std::nullopt;
+  const RoutedTarget* found = FindTarget(*routes, target);
   if (found == nullptr) return std::nullopt;
-  return Picked(*found);
+  return Start(*found, options_.clock->Now());
+}
+
+void FleetSelector::Finished(const PoolId& pool, const AttemptReport& report,
+                             absl::Time now) {
+  const std::shared_ptr<const RoutingTable> table = table_.Load();
+  const PoolRoutes* routes = FindRoutes(*table, pool);
+  const RoutedTarget* target =
+      routes == nullptr ? nullptr : FindTarget(*routes, report.target);
+  if (target != nullptr) {
+    routes->state->OnAttempt(report.took);
+    const bool outlier = target->state->End(report.failed, now);
+    if (outlier) EjectOutlier(*routes, *target, now);
+    return;
+  }
+  // The target has left the table while the attempt was under way.
+  std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = known_.find(report.target);
+  if (it != known_.end()) it->second.state->End(report.failed, now);
 }
 
-void FleetSelector::Finished(const PoolId& /*pool*/,
-                             const AttemptReport& report, absl::Time /*now*/) {
+void FleetSelector::EjectOutlier(const PoolRoutes& routes,
+                                 const RoutedTarget& outlier, absl::Time now) {
+  // One ejection at a time, so that two can't both take the last place.
   std::lock_guard<std::mutex> lock(mutex_);
-  const auto it = states_.find(report.target);
-  if (it != states_.end()) it->second->End();
+  if (outlier.state->Ejected(now)) return;
+  int usable = 0;
+  int ejected = 0;
+  for (const RoutedTarget& target : routes.targets) {
+    if (target.leaving || LeavingNow(target.id)) continue;
+    ++usable;
+    if (target.state->Ejected(now)) ++ejected;
+  }
+  if (ejected + 1 > usable * options_.max_ejected_share) return;
+  const absl::Time until = outlier.state->Eject(now);
+  options_.events->Write(
+      EventId::kTargetEjected, Severity::kWarning, "a target fails repeatedly",
+      {{"target", outlier.id.value()},
+       {"seconds", absl::StrCat(absl::ToInt64Seconds(until - now))}});
 }
 
 int FleetSelector::Available(const PoolId& pool) const {
   const std::shared_ptr<const RoutingTable> table = table_.Load();
-  const auto it = table->pools.find(pool);
-  return it == table->pools.end() ? 0 : it->second.available;
+  const PoolRoutes* routes = FindRoutes(*table, pool);
+  return routes == nullptr ? 0 : routes->available;
 }
 
-void FleetSelector::Refresh() {
-  const std::shared_ptr<const ConfigSnapshot> config =
-      options_.config->Current();
+void FleetSelector::OnLoadReport(const TargetLoadReport& report) {
   std::lock_guard<std::mutex> lock(mutex_);
-  auto table = std::make_shared<RoutingTable>();
-  table->revision = config->revision();
-  config->Visit(ConfigKind::kPool, "", [&](const ConfigValue& value) {
-    const Pool& pool = std::get<Pool>(value);
-    table->pools.emplace(pool.id, BuildPool(*config, pool));
-    return true;
-  });
-  table_.Store(std::move(table));
-}
-
-std::shared_ptr<const RoutingTable> FleetSelector::Current() {
-  if (table_.Load()->revision != options_.config->Current()->revision()) {
-    Refresh();
-  }
-  return table_.Load();
-}
-
-std::shared_ptr<TargetState> FleetSelector::StateOf(const TargetId& target) {
-  std::shared_ptr<TargetState>& state = states_[target];
-  if (state == nullptr) state = std::make_shared<TargetState>();
-  return state;
-}
-
-PoolRoutes FleetSelector::BuildPool(const ConfigSnapshot& config,
-                                    const Pool& pool) {
-  PoolRoutes routes{.kind = pool.kind,
-                    .max_in_flight_per_target = static_cast<int>(
-                        std::max(1u, pool.max_in_flight_per_target))};
-  for (const Target* target : config.TargetsOf(pool.id)) {
-    const bool leaving = Leaving(*target);
-    if (!leaving) ++routes.available;
-    routes.targets.push_back(
-        RoutedTarget{.id = target->id,
-                     .endpoint = target->endpoint,
-                     .zone = target->zone,
-                     .local = target->zone == options_.zone,
-                     .leaving = leaving,
-                     .state = StateOf(target->id)});
-  }
-  return routes;
+  const auto it = known_.find(report.target);
+  if (it == known_.end()) return;
+  it->second.state->OnReport(report.requests, report.measured);
 }
 
-bool FleetSelector::Leaving(const Target& target) const {
-  if (target.draining) return true;
-  return options_.membership != nullptr &&
-         options_.membership->TargetLeaving(target.id);
+// A gap in the events may have hidden an eviction of anything.
+void FleetSelector::OnCacheEvent(const CacheEvent& event, absl::Time now) {
+  const std::shared_ptr<const RoutingTable> table = table_.Load();
+  std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = known_.find(event.target);
+  if (it == known_.end()) return;
+  Known& known = it->second;
+  const PoolRoutes* routes = FindRoutes(*table, known.pool);
+  if (routes == nullptr || event.sequence <= known.last_cache_event) return;
+  const bool gap = event.sequence > known.last_cache_event + 1;
+  if (gap && known.last_cache_event != 0) {
+    routes->state->hints.Distrust(event.target, now);
+  }
+  known.last_cache_event = event.sequence;
+  if (!event.stored) {
+    routes->state->hints.Forget(event.prefix_hash, event.target);
+    return;
+  }
+  routes->state->hints.Remember(event.prefix_hash, event.target, now);
 }
 
 }  // namespace wisteriareel
--- a/src/routing/fleet_selector.h
+++ b/src/routing/fleet_selector.h
@@ -1,18 +1,25 @@
 #ifndef WISTERIAREEL_SRC_ROUTING_FLEET_SELECTOR_H_
 #define WISTERIAREEL_SRC_ROUTING_FLEET_SELECTOR_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "src/routing/routing_table.h"
+#include "src/routing/target_choice.h"
 #include "src/routing/target_selector.h"
+#include "wisteriareel/clock.h"
 #include "wisteriareel/config_snapshot.h"
+#include "wisteriareel/event_log.h"
 #include "wisteriareel/membership_view.h"
 #include "wisteriareel/published.h"
 #include "wisteriareel/random_source.h"
+#include "wisteriareel/target_signals.h"
 
 namespace wisteriareel {
 
@@ -20,14 +27,27 @@
 struct FleetSelectorOptions {
   InstanceId instance;
   ZoneId zone;
+  RegionId region;
   const ConfigView* config = nullptr;
   const MembershipView* membership = nullptr;
+  Clock* clock = SystemClock();
   RandomSource* random = nullptr;
+  EventLog* events = DiscardEvents();
+  TargetChoiceOptions choice;
+  TargetStateOptions state;
+  PrefixHintsOptions hints;
+  // Targets of a pool that one instance watches in its own zone, and beyond.
+  std::size_t max_near_targets = 64;
+  std::size_t max_far_targets = 16;
+  // Share of a pool's targets that may be ejected as outliers at a time.
+  double max_ejected_share = 0.5;
+  // Longest time between two counts of a pool's available targets.
+  absl::Duration count_interval = absl::Seconds(2);
 };
 
 // Chooses among the targets of the configuration. The table is rebuilt when
-// the configuration changes and by Refresh. Thread-safe.
-class FleetSelector final : public TargetSelector {
+// the configuration or the zone's instances change. Thread-safe.
+class FleetSelector final : public TargetSelector, public TargetSignals {
  public:
   explicit FleetSelector(const FleetSelectorOptions& options);
 
@@ -39,22 +59,58 @@
                 absl::Time now) override;
   int Available(const PoolId& pool) const override;
 
-  // Rebuilds the table; to be called every kRefreshInterval.
+  void OnLoadReport(const TargetLoadReport& report) override;
+  void OnCacheEvent(const CacheEvent& event, absl::Time now) override;
+
+  // Brings the table up to date; to be called every kRefreshInterval.
   void Refresh();
 
   static constexpr absl::Duration kRefreshInterval = absl::Milliseconds(250);
 
  private:
+  // A target that this instance has watched.
+  struct Known {
+    PoolId pool;
+    std::shared_ptr<TargetState> state;
+    std::uint64_t last_cache_event = 0;
+  };
+
   std::shared_ptr<const RoutingTable> Current();
-  std::shared_ptr<TargetState> StateOf(const TargetId& target);
-  PoolRoutes BuildPool(const ConfigSnapshot& config, const Pool& pool);
+  void Rebuild(const ConfigSnapshot& config, const RoutingScope& scope);
+  bool WatchedChanged(const RoutingTable& table,
+                      const ConfigSnapshot& config) const;
+  PoolRoutes BuildPool(const ConfigSnapshot& config, const RoutingScope& scope,
+                       const Pool& pool, const PoolRoutes* previous);
+  RoutedTarget BuildTarget(const RoutingScope& scope, const Target& target);
+  RoutingScope Scope() const;
   bool Leaving(const Target& target) const;
+  bool LeavingNow(const TargetId& target) const;
+
+  // Whom a pick may not choose.
+  struct Exclusions {
+    // Given up on by the request.
+    std::vector<TargetId> avoided;
+    // Found to be leaving since the table was built.
+    std::vector<TargetId> leaving;
+    bool ejected = true;
+  };
+
+  static std::vector<Candidate> Eligible(const PoolRoutes& routes,
+                                         const Exclusions& exclusions,
+                                         absl::Time now);
+  const RoutedTarget* Choose(const PoolRoutes& routes, const PickQuery& query,
+                             const std::vector<TargetId>& leaving,
+                             absl::Time now) const;
+  void EjectOutlier(const PoolRoutes& routes, const RoutedTarget& outlier,
+                    absl::Time now);
 
   const FleetSelectorOptions options_;
   Published<RoutingTable> table_;
-  // Guards rebuilding.
+  // Guards rebuilding and what is known of targets.
   std::mutex mutex_;
-  absl::flat_hash_map<TargetId, std::shared_ptr<TargetState>> states_;
+  absl::flat_hash_map<TargetId, Known> known_;
+  bool built_ = false;
+  absl::Time counted_ = absl::InfinitePast();
 };
 
 }  // namespace wisteriareel
--- a/src/routing/target_selector.h
+++ b/src/routing/target_selector.h
@@ -33,6 +33,7 @@
 struct AttemptReport {
   TargetId target;
   bool failed = false;
+  absl::Duration took;
 };
 
 // Chooses targets and keeps count of what this instance has in flight at
--- a/test/request_fleet.h
+++ b/test/request_fleet.h
@@ -144,6 +144,7 @@
                     .zone = ZoneId("z1"),
                     .config = &fleet->config_,
                     .membership = &fleet->membership,
+                    .clock = &fleet->clock,
                     .random = fleet->random_.get()}),
           claims({.instance = id,
                   .table = &fleet->table,
