Assume that others spread their load as this instance does

All instances follow the same ranks and hints, so a hot prefix overloaded its target: each instance kept its own share within the bound and knew of the others' only late. The deviation that a report no longer vouches for is now this instance's own, scaled to the others' load. A full target is passed over.

--- a/src/routing/fleet_selector.cc
+++ b/src/routing/fleet_selector.cc
@@ -101,7 +101,8 @@
   const bool by_prefix =
       routes.kind == PoolKind::kModel && query.prefix_hash != 0;
   if (!by_prefix) return LessLoadedOfTwo(near, options_.random).target;
-  return ChooseByPrefix(options_.choice, near, query.prefix_hash,
+  return ChooseByPrefix(options_.choice, near, routes.max_in_flight_per_target,
+                        query.prefix_hash,
                         routes.state->hints.Find(query.prefix_hash, now))
       .target;
 }
--- a/src/routing/target_choice.cc
+++ b/src/routing/target_choice.cc
@@ -30,6 +30,14 @@
   return reported == 0 ? 0 : total / reported;
 }
 
+double MeanOfOwn(const std::vector<Candidate>& candidates) {
+  double total = 0;
+  for (const Candidate& candidate : candidates) {
+    total += candidate.target->state->in_flight();
+  }
+  return total / static_cast<double>(candidates.size());
+}
+
 // Returns the share of requests seen `age` ago that are still there.
 double StillThere(absl::Duration age, absl::Duration mean_stay) {
   if (age == absl::InfiniteDuration()) return 0;
@@ -42,12 +50,16 @@
 void EstimateLoads(std::vector<Candidate>* candidates, absl::Duration mean_stay,
                    absl::Time now) {
   const double mean = MeanOfOthers(*candidates, now);
+  const double own_mean = MeanOfOwn(*candidates);
+  const double others_per_own = own_mean > 0 ? mean / own_mean : 0;
   for (Candidate& candidate : *candidates) {
     const TargetState& state = *candidate.target->state;
     const OthersLoad others = state.Others(now);
-    const double excess =
-        (others.requests - mean) * StillThere(others.age, mean_stay);
-    const double load = state.in_flight() + mean + excess;
+    const double own = state.in_flight();
+    const double reported = others.requests - mean;
+    const double expected = (own - own_mean) * others_per_own;
+    const double trust = StillThere(others.age, mean_stay);
+    const double load = own + mean + reported * trust + expected * (1 - trust);
     const double share = state.StartShare(now);
     candidate.load = share < 1.0 ? (load + 1) / share - 1 : load;
   }
@@ -91,10 +103,13 @@
 
 const Candidate& ChooseByPrefix(const TargetChoiceOptions& options,
                                 const std::vector<Candidate>& candidates,
+                                int max_in_flight_per_target,
                                 std::uint64_t prefix,
                                 const std::optional<TargetId>& hinted) {
   // One more than the mean, so that an idle pool keeps its affinity.
-  const double bound = options.load_bound * (MeanLoad(candidates) + 1);
+  const double bound =
+      std::min<double>(max_in_flight_per_target,
+                       options.load_bound * (MeanLoad(candidates) + 1));
   const Candidate* best = nullptr;
   std::uint64_t best_rank = 0;
   for (const Candidate& candidate : candidates) {
--- a/src/routing/target_choice.h
+++ b/src/routing/target_choice.h
@@ -31,8 +31,9 @@
 
 // Sets the candidates' loads: this instance's own attempts as they are now,
 // and those of others as last reported. What a report says of a target beyond
-// the others fades with the report's age, as the requests that it saw end; an
-// old report leaves the mean.
+// the others fades with the report's age, as the requests that it saw end. In
+// its place comes the assumption that others spread their work as this
+// instance does: all follow the same ranks and hints.
 void EstimateLoads(std::vector<Candidate>* candidates, absl::Duration mean_stay,
                    absl::Time now);
 
@@ -50,9 +51,10 @@
 
 // Returns the candidate for a prompt's beginning: the one that is hinted at,
 // or else the one that ranks highest for the prefix, among those whose load
-// stays within the bound. `candidates` must not be empty.
+// stays within the bound and that aren't full. `candidates` must not be empty.
 const Candidate& ChooseByPrefix(const TargetChoiceOptions& options,
                                 const std::vector<Candidate>& candidates,
+                                int max_in_flight_per_target,
                                 std::uint64_t prefix,
                                 const std::optional<TargetId>& hinted);
 
--- a/test/request_admission_test.cc
+++ b/test/request_admission_test.cc
@@ -129,7 +129,8 @@
 // Any order of offers, ends, withdrawals: bounds hold, nobody is admitted
 // twice, and no room is left unused while someone may have it.
 RC_GTEST_PROP(AdmissionQueuePropertyTest, KeepsItsBounds, ()) {
-  const AdmissionQueueOptions options{.max_queued = {8, 8, 8}};
+  const AdmissionQueueOptions options{.max_queued = {8, 8, 8},
+                                      .capacity_share = {1.0, 0.9, 0.8}};
   AdmissionQueue queue(options);
   std::vector<AdmissionRequest> in_flight;
   std::map<AdmissionTicket, AdmissionRequest> waiting;
@@ -148,7 +149,8 @@
         waiting[decision.ticket] = request;
       }
     } else if (op < 20 && !in_flight.empty()) {
-      const auto it = in_flight.begin() + op % in_flight.size();
+      const auto it =
+          in_flight.begin() + op % static_cast<int>(in_flight.size());
       queue.Leave(*it, absl::Milliseconds(op));
       in_flight.erase(it);
       while (const auto ticket = queue.TakeNext(kNow)) {
--- a/test/routing_selector_test.cc
+++ b/test/routing_selector_test.cc
@@ -127,7 +127,7 @@
         router.clock.Now());
   };
   const auto pick = [&] {
-    const std::string target = router.Pick(1);
+    std::string target = router.Pick(1);
     router.Finish(target);
     return target;
   };
@@ -177,16 +177,19 @@
   }
 }
 
+constexpr int kInstances = 8;
+constexpr int kTargets = 12;
+// In steps of 100 ms.
+constexpr int kTicks = 200;
+constexpr int kStay = 10;
+constexpr int kLag = 20;
+
 // Many instances learn of each other's work only through reports that lag by
 // two seconds. Returns the highest load of a target relative to the mean.
 double WorstImbalance(bool follow_lowest_report) {
-  constexpr int kInstances = 8;
-  constexpr int kTargets = 12;
-  constexpr int kTicks = 200;
-  constexpr int kStay = 10;
-  constexpr int kLag = 20;
   Router router(kTargets, 0, PoolKind::kService);
   std::vector<std::unique_ptr<FleetSelector>> selectors;
+  selectors.reserve(kInstances);
   for (int i = 0; i < kInstances; ++i) {
     selectors.push_back(router.MakeSelector(absl::StrCat("i", i)));
   }
@@ -244,7 +247,8 @@
     if (tick < kLag) continue;
     int highest = 0;
     for (const auto& [target, n] : loads[tick]) highest = std::max(highest, n);
-    worst = std::max(worst, highest * double{kTargets} / stays.size());
+    worst = std::max(
+        worst, highest * double{kTargets} / static_cast<double>(stays.size()));
   }
   return worst;
 }
@@ -256,11 +260,12 @@
   EXPECT_GE(WorstImbalance(true), 4.0);
 }
 
+constexpr int kZoneInstances = 20;
+constexpr int kZoneTargets = 430;
+constexpr int kAllTargets = 12'000;
+
 TEST(WatchedTargetsTest, CoverTheZoneWithAShareEach) {
-  constexpr int kInstances = 20;
-  constexpr int kZoneTargets = 430;
-  constexpr int kOtherTargets = 11'570;
-  std::vector<Target> targets(kZoneTargets + kOtherTargets);
+  std::vector<Target> targets(kAllTargets);
   std::vector<const Target*> pool;
   for (std::size_t i = 0; i < targets.size(); ++i) {
     targets[i].id = TargetName(static_cast<int>(i));
@@ -268,7 +273,7 @@
     pool.push_back(&targets[i]);
   }
   RoutingScope scope{.zone = ZoneId("z1")};
-  for (int i = 0; i < kInstances; ++i) {
+  for (int i = 0; i < kZoneInstances; ++i) {
     scope.zone_instances.push_back(InstanceId(absl::StrCat("i", i)));
   }
   std::map<TargetId, int> watchers;
