--- /dev/null
+++ b/bench/request_load_model.cc
@@ -0,0 +1,303 @@
+#include "bench/request_load_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "src/routing/rendezvous.h"
+
+namespace wisteriareel {
+namespace {
+
+const PoolId kPool = PoolId("pool");
+
+TargetId NameOf(int target) { return TargetId(absl::StrCat("t", target)); }
+
+struct Job {
+  std::size_t workload = 0;
+  std::uint64_t prefix = 0;
+  absl::Time arrived;
+  absl::Time admitted;
+  int instance = 0;
+  int target = 0;
+};
+
+// A target: slots, a queue, and a cache of prompts' beginnings.
+struct ModelTarget {
+  int active = 0;
+  // Engines honour priorities.
+  std::map<Priority, std::deque<Job>> queue;
+  std::list<std::uint64_t> cache;
+
+  // Returns whether the beginning was cached; it is afterwards.
+  bool Touch(std::uint64_t prefix, std::size_t capacity) {
+    const auto it = std::find(cache.begin(), cache.end(), prefix);
+    const bool hit = it != cache.end();
+    if (hit) cache.erase(it);
+    cache.push_front(prefix);
+    if (cache.size() > capacity) cache.pop_back();
+    return hit;
+  }
+  int load() const {
+    std::size_t queued = 0;
+    for (const auto& [priority, jobs] : queue) queued += jobs.size();
+    return active + static_cast<int>(queued);
+  }
+};
+
+struct Event {
+  absl::Time at;
+  std::uint64_t order = 0;
+  std::function<void()> run;
+
+  friend bool operator>(const Event& a, const Event& b) {
+    return a.at != b.at ? a.at > b.at : a.order > b.order;
+  }
+};
+
+class LoadModel {
+ public:
+  explicit LoadModel(const LoadModelOptions& options)
+      : options_(options),
+        config_(MakeConfig(options)),
+        targets_(options.targets),
+        queues_(options.instances, AdmissionQueue(AdmissionQueueOptions{})),
+        waiting_(options.instances),
+        in_flight_(options.instances, std::vector<int>(options.targets)) {
+    for (int i = 0; i < options.instances; ++i) {
+      selectors_.push_back(std::make_unique<FleetSelector>(
+          FleetSelectorOptions{.instance = InstanceId(absl::StrCat("i", i)),
+                               .zone = ZoneId("z"),
+                               .config = &config_,
+                               .clock = &clock_,
+                               .random = random_.get()}));
+    }
+    result_.first_token.resize(options.workloads.size());
+    result_.whole.resize(options.workloads.size());
+    double total = 0;
+    for (int i = 1; i <= options.prefixes; ++i) {
+      total += 1.0 / i;
+      popularity_.push_back(total);
+    }
+  }
+
+  LoadResult Run() {
+    begin_ = clock_.Now();
+    const absl::Time end = begin_ + options_.length;
+    for (std::size_t i = 0; i < options_.workloads.size(); ++i) ScheduleNext(i);
+    At(begin_ + options_.report_interval, [this] { Report(); });
+    while (!events_.empty() && events_.top().at < end) {
+      const Event event = events_.top();
+      events_.pop();
+      clock_.Advance(event.at - clock_.Now());
+      event.run();
+    }
+    result_.seconds = absl::ToDoubleSeconds(options_.length - options_.warm_up);
+    result_.imbalance /= std::max(1, samples_);
+    result_.prefix_hits = hits_ / std::max(1.0, starts_);
+    return result_;
+  }
+
+ private:
+  static std::shared_ptr<const ConfigSnapshot> MakeConfig(
+      const LoadModelOptions& options) {
+    auto config = std::make_shared<StaticSnapshot>();
+    // Without admission nothing may be refused for want of room.
+    const std::uint32_t limit = options.admission ? options.slots : 1'000'000;
+    config->Add(Pool{.id = kPool, .max_in_flight_per_target = limit});
+    for (int i = 0; i < options.targets; ++i) {
+      config->Add(Target{.id = NameOf(i), .pool = kPool, .zone = ZoneId("z")});
+    }
+    config->Seal();
+    return config;
+  }
+
+  void At(absl::Time at, std::function<void()> run) {
+    events_.push({at, ++order_, std::move(run)});
+  }
+
+  bool Measured() const { return clock_.Now() >= begin_ + options_.warm_up; }
+
+  void ScheduleNext(std::size_t workload) {
+    const double gap = -std::log(1.0 - random_->Fraction()) /
+                       options_.workloads[workload].per_second;
+    At(clock_.Now() + absl::Seconds(gap), [this, workload] {
+      ScheduleNext(workload);
+      Arrive(workload);
+    });
+  }
+
+  void Arrive(std::size_t workload) {
+    const double at = random_->Fraction() * popularity_.back();
+    const auto it =
+        std::lower_bound(popularity_.begin(), popularity_.end(), at);
+    Job job{.workload = workload,
+            .prefix = RendezvousRank(
+                1, static_cast<std::uint64_t>(it - popularity_.begin())),
+            .arrived = clock_.Now(),
+            .instance = static_cast<int>(random_->Below(queues_.size()))};
+    if (Measured()) ++result_.offered;
+    if (!options_.admission) return Dispatch(job);
+    const AdmissionDecision decision =
+        queues_[job.instance].Offer(RequestOf(job), clock_.Now());
+    if (decision.kind == AdmissionDecision::Kind::kAdmitted) {
+      return Dispatch(job);
+    }
+    if (decision.kind == AdmissionDecision::Kind::kQueued) {
+      waiting_[job.instance][decision.ticket] = job;
+      return;
+    }
+    if (Measured()) ++result_.refused;
+  }
+
+  AdmissionRequest RequestOf(const Job& job) const {
+    const Workload& workload = options_.workloads[job.workload];
+    return {.pool = kPool,
+            .customer = CustomerId(absl::StrCat("c", job.prefix % 10)),
+            .priority = workload.priority,
+            .capacity = options_.targets * options_.slots / options_.instances,
+            .deadline = job.arrived + workload.useful};
+  }
+
+  int Choose(const Job& job) {
+    const std::vector<int>& own = in_flight_[job.instance];
+    switch (options_.policy) {
+      case Policy::kRoundRobin:
+        return next_++ % options_.targets;
+      case Policy::kRandom:
+        return static_cast<int>(random_->Below(own.size()));
+      case Policy::kLeastConnections:
+        return static_cast<int>(std::min_element(own.begin(), own.end()) -
+                                own.begin());
+      case Policy::kPlainHash:
+        return static_cast<int>(job.prefix % own.size());
+      case Policy::kFleet:
+        break;
+    }
+    LastReason reason;
+    const auto picked = selectors_[job.instance]->Pick(
+        {.pool = kPool, .prefix_hash = job.prefix}, clock_.Now(), &reason);
+    return std::stoi(picked->id.value().substr(1));
+  }
+
+  void Dispatch(Job job) {
+    job.admitted = clock_.Now();
+    job.target = Choose(job);
+    ++in_flight_[job.instance][job.target];
+    ModelTarget& target = targets_[job.target];
+    if (target.active < options_.slots) return Start(job);
+    target.queue[options_.workloads[job.workload].priority].push_back(job);
+  }
+
+  void Start(const Job& job) {
+    ModelTarget& target = targets_[job.target];
+    ++target.active;
+    const bool hit = target.Touch(job.prefix, options_.cached_prefixes);
+    const double busy = static_cast<double>(target.active) / options_.slots;
+    const absl::Duration interval = options_.token_interval * (1 + busy / 2);
+    const absl::Duration prefill =
+        hit ? options_.prefill_cached : options_.prefill;
+    const Workload& workload = options_.workloads[job.workload];
+    const absl::Time first = clock_.Now() + prefill;
+    if (Measured()) {
+      ++starts_;
+      hits_ += hit ? 1 : 0;
+      result_.first_token[job.workload].push_back(
+          absl::ToDoubleSeconds(first - job.arrived));
+      result_.inter_token.push_back(absl::ToDoubleSeconds(interval));
+    }
+    At(first + interval * workload.tokens, [this, job] { End(job); });
+  }
+
+  void End(const Job& job) {
+    ModelTarget& target = targets_[job.target];
+    --target.active;
+    --in_flight_[job.instance][job.target];
+    const absl::Duration took = clock_.Now() - job.arrived;
+    if (Measured()) {
+      result_.whole[job.workload].push_back(absl::ToDoubleSeconds(took));
+      if (took <= options_.workloads[job.workload].useful) ++result_.useful;
+    }
+    if (options_.policy == Policy::kFleet) {
+      selectors_[job.instance]->Finished(
+          kPool,
+          {.target = NameOf(job.target), .took = clock_.Now() - job.admitted},
+          clock_.Now());
+    }
+    StartNext(&target);
+    if (options_.admission) AdmitWaiting(job);
+  }
+
+  void StartNext(ModelTarget* target) {
+    for (auto& [priority, jobs] : target->queue) {
+      if (jobs.empty()) continue;
+      const Job next = jobs.front();
+      jobs.pop_front();
+      return Start(next);
+    }
+  }
+
+  void AdmitWaiting(const Job& ended) {
+    AdmissionQueue& queue = queues_[ended.instance];
+    queue.Leave(RequestOf(ended), clock_.Now() - ended.admitted);
+    while (const auto ticket = queue.TakeNext(clock_.Now())) {
+      auto waiting = waiting_[ended.instance].extract(*ticket);
+      Dispatch(waiting.mapped());
+    }
+  }
+
+  void Report() {
+    At(clock_.Now() + options_.report_interval, [this] { Report(); });
+    int highest = 0;
+    int total = 0;
+    for (int i = 0; i < options_.targets; ++i) {
+      const int load = targets_[i].load();
+      highest = std::max(highest, load);
+      total += load;
+      const TargetLoadReport report{
+          .target = NameOf(i), .requests = load, .measured = clock_.Now()};
+      At(clock_.Now() + options_.report_lag, [this, report] {
+        for (const auto& selector : selectors_) selector->OnLoadReport(report);
+      });
+    }
+    if (!Measured() || total == 0) return;
+    ++samples_;
+    result_.imbalance += highest * double(options_.targets) / total;
+  }
+
+  const LoadModelOptions options_;
+  SteppingClock clock_;
+  absl::Time begin_;
+  std::unique_ptr<RandomSource> random_ = MakeSeededRandom(20261204);
+  StaticConfig config_;
+  std::vector<ModelTarget> targets_;
+  std::vector<std::unique_ptr<FleetSelector>> selectors_;
+  std::vector<AdmissionQueue> queues_;
+  std::vector<std::map<AdmissionTicket, Job>> waiting_;
+  std::vector<std::vector<int>> in_flight_;
+  std::vector<double> popularity_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::uint64_t order_ = 0;
+  int next_ = 0;
+  int samples_ = 0;
+  double hits_ = 0;
+  double starts_ = 0;
+  LoadResult result_;
+};
+
+}  // namespace
+
+LoadResult RunLoad(const LoadModelOptions& options) {
+  return LoadModel(options).Run();
+}
+
+double Quantile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto last = static_cast<double>(values.size() - 1);
+  return values[static_cast<std::size_t>(last * share)];
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/bench/request_path_bench.cc
@@ -0,0 +1,268 @@
+// Processor time and memory of the request path, on fakes that answer at once.
+
+#include <malloc.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "benchmark/benchmark.h"
+#include "src/request/answer_relay.h"
+#include "src/request/row_batcher.h"
+#include "standin/fakes/memory_table.h"
+#include "test/request_fleet.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr absl::Duration kTimeout = absl::Seconds(30);
+constexpr int kRefreshZones = 28;
+constexpr int kClaimsEach = 10;
+
+// A caller that takes everything and keeps nothing.
+class NullWriter final : public AnswerWriter {
+ public:
+  bool WriteHead(int, std::string_view) override { return true; }
+  bool WriteData(std::string_view bytes) override {
+    benchmark::DoNotOptimize(bytes.data());
+    return true;
+  }
+  bool Finish() override { return true; }
+  bool CallerGone() const override { return false; }
+};
+
+void BM_PlainChat(benchmark::State& state) {
+  RequestFleet fleet;
+  CallerRequest request = ChatCall("r", "m", false);
+  NullWriter writer;
+  std::uint64_t n = 0;
+  for (auto _ : state) {
+    request.prefix_hash = ++n % 1'000;
+    benchmark::DoNotOptimize(fleet.service().Handle(request, &writer));
+  }
+}
+BENCHMARK(BM_PlainChat);
+
+void BM_ClaimedCall(benchmark::State& state) {
+  RequestFleet fleet;
+  NullWriter writer;
+  std::uint64_t n = 0;
+  for (auto _ : state) {
+    const std::string id = absl::StrCat(++n);
+    benchmark::DoNotOptimize(
+        fleet.service().Handle(ServiceCall(id, id, "/records/issue"), &writer));
+  }
+}
+BENCHMARK(BM_ClaimedCall);
+
+void BM_StreamEvent(benchmark::State& state) {
+  NullWriter writer;
+  AnswerRelay relay({.chat = true, .streamed = true}, &writer);
+  TargetSink* sink = relay.BeginAttempt();
+  sink->OnHead(200, "text/event-stream");
+  const std::string event =
+      "data: {\"id\":\"x\",\"object\":\"chat.completion.chunk\",\"choices\":"
+      "[{\"index\":0,\"delta\":{\"content\":\" felling\"}}]}\n\n";
+  std::uint64_t position = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(sink->OnData(position++, event));
+  }
+}
+BENCHMARK(BM_StreamEvent);
+
+void BM_Pick(benchmark::State& state) {
+  auto config = std::make_shared<StaticSnapshot>();
+  config->Add(Pool{.id = PoolId("p")});
+  for (int i = 0; i < state.range(0); ++i) {
+    config->Add(Target{.id = TargetId(absl::StrCat("t", i)),
+                       .pool = PoolId("p"),
+                       .zone = ZoneId("z")});
+  }
+  config->Seal();
+  StaticConfig view(config);
+  const auto random = MakeSeededRandom(1);
+  FleetSelector selector({.instance = InstanceId("i"),
+                          .zone = ZoneId("z"),
+                          .config = &view,
+                          .random = random.get()});
+  LastReason reason;
+  const absl::Time now = SystemClock()->Now();
+  std::uint64_t prefix = 0;
+  for (auto _ : state) {
+    const auto picked = selector.Pick(
+        {.pool = PoolId("p"), .prefix_hash = 1 + ++prefix % 1'000}, now,
+        &reason);
+    selector.Finished(PoolId("p"), {.target = picked->id}, now);
+  }
+}
+BENCHMARK(BM_Pick)->Arg(12)->Arg(64)->Arg(430);
+
+void BM_Refresh(benchmark::State& state) {
+  auto config = std::make_shared<StaticSnapshot>();
+  config->Add(Pool{.id = PoolId("p")});
+
+  for (int i = 0; i < state.range(0); ++i) {
+    config->Add(Target{.id = TargetId(absl::StrCat("t", i)),
+                       .pool = PoolId("p"),
+                       .zone = ZoneId(absl::StrCat("z", i % kRefreshZones))});
+  }
+  config->Seal();
+  StaticConfig view(config);
+  const auto random = MakeSeededRandom(1);
+  SteppingClock clock;
+  FleetSelector selector({.instance = InstanceId("i"),
+                          .zone = ZoneId("z0"),
+                          .config = &view,
+                          .clock = &clock,
+                          .random = random.get()});
+  for (auto _ : state) {
+    clock.Advance(absl::Seconds(3));
+    selector.Refresh();
+  }
+}
+BENCHMARK(BM_Refresh)->Arg(12'000)->Unit(benchmark::kMicrosecond);
+
+// A table whose transactions take a while.
+class SlowTable final : public TableService {
+ public:
+  MemoryTable& memory() { return memory_; }
+
+  CommitOutcome Commit(const Transaction& transaction,
+                       absl::Duration timeout) override {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return memory_.Commit(transaction, timeout);
+  }
+  std::optional<std::vector<Row>> Read(const std::vector<RowKey>& keys,
+                                       absl::Duration timeout,
+                                       LastReason* reason) override {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return memory_.Read(keys, timeout, reason);
+  }
+  std::optional<std::vector<Row>> Scan(const std::string&, const std::string&,
+                                       int, absl::Duration,
+                                       LastReason*) override {
+    return std::nullopt;
+  }
+
+ private:
+  MemoryTable memory_;
+};
+
+// Many threads claim at once, with `max_batch` changes in a transaction.
+void BM_Claims(benchmark::State& state) {
+  const auto threads = static_cast<int>(state.range(0));
+  const auto max_batch = static_cast<std::size_t>(state.range(1));
+
+  std::uint64_t claims = 0;
+  std::uint64_t commits = 0;
+  std::atomic<std::int64_t> waited_nanos = 0;
+  for (auto _ : state) {
+    SlowTable table;
+    RowBatcher batcher({.table = &table, .max_batch = max_batch});
+    std::vector<std::thread> callers;
+    callers.reserve(threads);
+    for (int i = 0; i < threads; ++i) {
+      callers.emplace_back([&, i] {
+        for (int n = 0; n < kClaimsEach; ++n) {
+          const std::string key = absl::StrCat(i, "-", n);
+          const absl::Time begun = absl::Now();
+          batcher.Apply({.key = {"t", key}, .value = key}, kTimeout);
+          waited_nanos += absl::ToInt64Nanoseconds(absl::Now() - begun);
+        }
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+    claims += threads * kClaimsEach;
+    commits += table.memory().commits();
+  }
+  const auto total = static_cast<double>(claims);
+  state.counters["claims_per_commit"] = total / static_cast<double>(commits);
+  state.counters["mean_wait_ms"] =
+      static_cast<double>(waited_nanos) / total / 1e6;
+  state.counters["claims_per_s"] =
+      benchmark::Counter(total, benchmark::Counter::kIsRate);
+}
+BENCHMARK(BM_Claims)
+    ->Args({1, 128})
+    ->Args({16, 1})
+    ->Args({16, 128})
+    ->Args({128, 128})
+    ->Iterations(3)
+    ->UseRealTime()
+    ->Unit(benchmark::kMillisecond);
+
+// Holds calls at their target until it is opened, after some of the answer.
+class HeldClient final : public TargetClient {
+ public:
+  TargetOutcome Send(const TargetCall&, TargetSink* sink,
+                     const std::atomic<bool>&) override {
+    sink->OnHead(200, "text/event-stream");
+    for (std::uint64_t i = 0; i < 20; ++i) {
+      sink->OnData(i, "data: {\"choices\":[{\"delta\":{}}]}\n\n");
+    }
+    ++held_;
+    open_.wait(false);
+    return {.verdict = Verdict::kRan, .status = 200, .complete = true};
+  }
+  void Cancel(const TargetCall&) override {}
+
+  int held() const { return held_; }
+  void Open() {
+    open_ = true;
+    open_.notify_all();
+  }
+
+ private:
+  std::atomic<int> held_ = 0;
+  std::atomic<bool> open_ = false;
+};
+
+// Heap of one open stream with a prompt of 4 KiB, without its thread's stack
+// and without the edges' buffers.
+void BM_OpenStreamHeap(benchmark::State& state) {
+  const auto streams = static_cast<int>(state.range(0));
+  for (auto _ : state) {
+    StaticConfig config(MakeRequestConfig());
+    const auto random = MakeSeededRandom(1);
+    CountingGate gate(Tokens(1'000'000'000));
+    HeldClient targets;
+    FleetSelector selector({.instance = InstanceId("i"),
+                            .zone = ZoneId("z1"),
+                            .config = &config,
+                            .random = random.get()});
+    RequestService service({.config = &config,
+                            .budget = &gate,
+                            .journal = &gate,
+                            .targets = &targets,
+                            .selector = &selector,
+                            .random = random.get()});
+    CallerRequest request = ChatCall("r", "m", true);
+    request.body = absl::StrCat("{\"temperature\":0,\"prompt\":\"",
+                                std::string(4'096, 'x'), "\"}");
+    std::vector<std::thread> callers;
+    callers.reserve(streams);
+    const std::size_t before = mallinfo2().uordblks;
+    for (int i = 0; i < streams; ++i) {
+      callers.emplace_back([&] {
+        NullWriter writer;
+        service.Handle(request, &writer);
+      });
+    }
+    // The pool's targets take 64 each; the rest is refused and not counted.
+    while (targets.held() < std::min(streams, 192)) std::this_thread::yield();
+    state.counters["heap_bytes_per_stream"] =
+        static_cast<double>(mallinfo2().uordblks - before) / targets.held();
+    targets.Open();
+    for (std::thread& caller : callers) caller.join();
+  }
+}
+BENCHMARK(BM_OpenStreamHeap)->Arg(100)->Iterations(1);
+
+}  // namespace
+}  // namespace wisteriareel
+
+BENCHMARK_MAIN();
--- a/src/request/admission_queue.h
+++ b/src/request/admission_queue.h
@@ -27,7 +27,7 @@
       absl::Seconds(2), absl::Seconds(10), absl::Seconds(60)};
   // Share of the capacity that a class may use. What is left stays free for
   // classes above it.
-  std::array<double, kPriorityCount> capacity_share = {1.0, 0.9, 0.8};
+  std::array<double, kPriorityCount> capacity_share = {1.0, 0.95, 0.85};
   // Turns that waiting classes get relative to each other.
   std::array<int, kPriorityCount> turns = {16, 4, 1};
   // Weight of the newest sample in the estimate of how long a request stays.
