Tell of a failed handler as doubt, and bound a stop

Cause: an exception from a handler was answered by the library, in the middle of a stream if one had begun; a connection accepted just before a stop was served beyond the stop's grace; nothing was logged.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -59,6 +59,10 @@
   kPoolConverged = 1704,
 
   // 1800-1899 http, rpc, peer.
+  kHttpListening = 1800,
+  kHttpConnectionsCut = 1801,
+  kCertificateUnreadable = 1802,
+  kRequestHandlerFailed = 1803,
   kOperatorRefused = 1850,
   kOperatorOrderAccepted = 1851,
   kOperatorListening = 1852,
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -1,6 +1,8 @@
 #include "src/http/caller_server.h"
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -28,6 +30,9 @@
     "Authorization", kIdempotencyKeyHeader, kTimeoutHeader,
     kCallerPriorityHeader, "Content-Type"};
 
+constexpr std::string_view kMethods[] = {"GET", "POST", "PUT", "PATCH",
+                                         "DELETE"};
+
 bool IsPage(const std::string& path) {
   return path == kHealthPath || path == kReadyPath || path == kMetricsPath;
 }
@@ -92,6 +97,10 @@
 // Checks what every call must obey.
 std::optional<HttpRefusal> CheckHeaders(const httplib::Request& request,
                                         const HttpExchange& exchange) {
+  if (std::find(std::begin(kMethods), std::end(kMethods), request.method) ==
+      std::end(kMethods)) {
+    return HttpRefusal{405, Reason::kMalformed, "method not taken"};
+  }
   for (const char* name : kSingleHeaders) {
     if (request.get_header_value_count(name) < 2) continue;
     return HttpRefusal{400, Reason::kMalformed,
@@ -255,7 +264,9 @@
   parts_.counters->Add(Counter::kCallersRefused, 1);
   parts_.counters->Refused(refusal.reason);
   const RequestId id = NextRequestId();
-  const CallResult result{.reason = refusal.reason, .detail = refusal.detail};
+  const CallResult result{.verdict = refusal.verdict,
+                          .reason = refusal.reason,
+                          .detail = refusal.detail};
   response->status = refusal.status;
   response->set_content(ErrorBody(id, result), "application/json");
   response->set_header(kRequestIdHeader, id.value());
--- a/src/http/guarded_server.cc
+++ b/src/http/guarded_server.cc
@@ -8,7 +8,9 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <exception>
 #include <string>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "wisteriareel/clock.h"
@@ -142,6 +144,18 @@
     return HandlerResponse::Handled;
   };
   set_error_handler(explain);
+  set_exception_handler([this](const httplib::Request&, httplib::Response& res,
+                               std::exception_ptr thrown) {
+    ReportFailure(std::move(thrown));
+    current_exchange->close = true;
+    // A stream that began must not end in a second answer.
+    if (current_exchange->answered) current_exchange->stream->DiscardWrites();
+    handler_->Refuse({.status = 500,
+                      .reason = Reason::kUnavailable,
+                      .detail = "internal failure",
+                      .verdict = Verdict::kMayHaveRun},
+                     &res);
+  });
   const auto serve = [this](const httplib::Request& request,
                             httplib::Response& response) {
     handler_->Serve(request, current_exchange, &response);
@@ -174,6 +188,18 @@
   return true;
 }
 
+void GuardedServer::ReportFailure(std::exception_ptr thrown) const {
+  std::string detail = "unknown exception";
+  try {
+    std::rethrow_exception(std::move(thrown));
+  } catch (const std::exception& failure) {
+    detail = failure.what();
+  } catch (...) {  // Keeps the text above.
+  }
+  options_.events->Write(EventId::kRequestHandlerFailed, Severity::kError,
+                         "request handler failed", {{"detail", detail}});
+}
+
 bool GuardedServer::KeepsAlive() const {
   if (draining_.load()) return false;
   const ConnectionThreads* threads = threads_.load();
@@ -195,11 +221,15 @@
 }
 
 bool GuardedServer::process_and_close_socket(socket_t sock) {
+  bool unserved = false;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     open_.insert(sock);
+    unserved = cut_;
   }
-  if (ConnectionThreads::MustRefuse()) {
+  if (unserved) {
+    ::shutdown(sock, SHUT_RDWR);
+  } else if (ConnectionThreads::MustRefuse()) {
     RefuseConnection(sock);
   } else if (!options_.tls.enabled()) {
     ServeConnection(sock, nullptr);
@@ -333,6 +363,7 @@
 
 std::size_t GuardedServer::CutConnections() {
   std::lock_guard<std::mutex> lock(mutex_);
+  cut_ = true;
   for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
   return open_.size();
 }
--- a/src/http/guarded_server.h
+++ b/src/http/guarded_server.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstddef>
+#include <exception>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -33,7 +34,8 @@
 
   // Waits until no connection is open. Returns how many were left.
   std::size_t WaitForConnections(absl::Duration timeout);
-  // Breaks all open connections. Returns how many.
+  // Breaks all open connections, and those not yet begun. Returns how many
+  // were open.
   std::size_t CutConnections();
   std::size_t connections() const;
 
@@ -47,6 +49,7 @@
   // Answers a request that broke a limit before it was parsed.
   void AnswerBrokenRequest(BoundedStream* stream);
   void AnswerDirectly(const HttpRefusal& refusal, BoundedStream* stream);
+  void ReportFailure(std::exception_ptr thrown) const;
   bool WaitForRequest(BoundedStream* stream) const;
   bool KeepsAlive() const;
   bool Handshake(SSL* tls, int fd) const;
@@ -62,6 +65,8 @@
   mutable std::mutex mutex_;
   std::condition_variable closed_;
   absl::flat_hash_set<int> open_;
+  // Set once connections were cut; one accepted before is closed unserved.
+  bool cut_ = false;
 };
 
 }  // namespace wisteriareel
--- a/src/http/http_listener.cc
+++ b/src/http/http_listener.cc
@@ -58,11 +58,17 @@
   if (!server_->Bind(&port_, reason)) return false;
   accept_thread_ = std::thread([this] { server_->listen_after_bind(); });
   while (!server_->is_running()) SystemClock()->Sleep(kStartPoll);
+  options_.events->Write(
+      EventId::kHttpListening, Severity::kInfo, "listening for callers",
+      {{"address", options_.endpoint.host}, {"port", absl::StrCat(port_)}});
   if (options_.tls.enabled()) {
     tls_reloader_ = std::make_unique<BackgroundLoop>([this] {
-      // Files that don't fit together yet are read again the next time.
-      LastReason ignored;
-      server_->ReloadTls(&ignored);
+      LastReason unreadable;
+      if (!server_->ReloadTls(&unreadable)) {
+        options_.events->Write(EventId::kCertificateUnreadable,
+                               Severity::kError, "certificate unreadable",
+                               {{"detail", unreadable.detail()}});
+      }
       return options_.tls.reload;
     });
   }
@@ -76,9 +82,12 @@
   tls_reloader_.reset();
   server_->BeginDrain();
   server_->stop();
-  std::size_t cut = 0;
-  if (server_->WaitForConnections(grace) > 0) {
-    cut = server_->CutConnections();
+  server_->WaitForConnections(grace);
+  const std::size_t cut = server_->CutConnections();
+  if (cut > 0) {
+    options_.events->Write(EventId::kHttpConnectionsCut, Severity::kWarning,
+                           "connections cut",
+                           {{"connections", absl::StrCat(cut)}});
     server_->WaitForConnections(kCutWait);
   }
   accept_thread_.join();
--- a/src/http/http_listener.h
+++ b/src/http/http_listener.h
@@ -15,8 +15,10 @@
 #include "src/http/bounded_stream.h"
 #include "src/security/tls_files.h"
 #include "wisteriareel/background_loop.h"
+#include "wisteriareel/event_log.h"
 #include "wisteriareel/reason.h"
 #include "wisteriareel/types.h"
+#include "wisteriareel/verdict.h"
 
 namespace wisteriareel {
 
@@ -49,6 +51,8 @@
   TlsFiles tls;
   // Connections that the kernel holds until they are accepted.
   int backlog = 4096;
+  // Must outlive the listener.
+  EventLog* events = DiscardEvents();
 };
 
 // One request on a connection and the way back to its client.
@@ -70,6 +74,7 @@
   int status = 400;
   Reason reason = Reason::kMalformed;
   std::string detail;
+  Verdict verdict = Verdict::kNotRun;
 };
 
 // Answers the requests of a listener. Called on connection threads.
--- a/test/edge_tests.cmake
+++ b/test/edge_tests.cmake
@@ -4,3 +4,4 @@
   LIBRARIES wisteriareel_standins)
 wisteriareel_test(http_caller_server_test THREADED
   LIBRARIES wisteriareel_http wisteriareel_config rapidcheck)
+wisteriareel_test(http_tls_test THREADED LIBRARIES wisteriareel_http)
--- a/test/http_caller_server_test.cc
+++ b/test/http_caller_server_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -254,6 +255,17 @@
   EXPECT_EQ(handler_.calls, 0);
 }
 
+TEST_F(CallerServerTest, TakesNoMethodThatTargetsMayNotExpect) {
+  Start();
+  for (const char* method : {"HEAD", "OPTIONS", "TRACE"}) {
+    EXPECT_THAT(
+        Exchange(absl::StrCat(
+            method, " /x HTTP/1.1\r\nAuthorization: Bearer good\r\n\r\n")),
+        StartsWith("HTTP/1.1 4"));
+  }
+  EXPECT_EQ(handler_.calls, 0);
+}
+
 TEST_F(CallerServerTest, HandsOverAChatCall) {
   Start();
   const std::string answer =
@@ -339,6 +351,23 @@
   EXPECT_THAT(answer, Not(HasSubstr("half")));
 }
 
+TEST_F(CallerServerTest, LeavesDoubtWhenTheHandlerFails) {
+  handler_.answer = [](AnswerWriter*) -> CallResult {
+    throw std::runtime_error("failed");
+  };
+  Start();
+  const std::string answer = Exchange(Chat(kChatBody));
+  EXPECT_THAT(answer, StartsWith("HTTP/1.1 500"));
+  EXPECT_THAT(answer, HasSubstr("\"verdict\":\"may_have_run\""));
+  handler_.answer = [](AnswerWriter* writer) -> CallResult {
+    writer->WriteHead(200, "text/event-stream");
+    writer->WriteData("data: a\n\n");
+    throw std::runtime_error("failed");
+  };
+  EXPECT_THAT(Exchange(Chat(kStreamBody)),
+              testing::EndsWith("9\r\ndata: a\n\n\r\n"));
+}
+
 TEST_F(CallerServerTest, TellsHowLongToWait) {
   handler_.answer = [](AnswerWriter*) {
     return CallResult{.reason = Reason::kShedOverload,
