Compare the start of a resumed stream with what was delivered

A target that ignored the resume offset and began anew would have had its first events passed on in the place of later ones. A resumption now asks for the last two events once more and is given up if they differ. A broken answer is billed by its delivered events also if the usage event had arrived.

--- a/src/request/answer_relay.cc
+++ b/src/request/answer_relay.cc
@@ -1,5 +1,6 @@
 #include "src/request/answer_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wisteriareel {
@@ -92,15 +93,31 @@
   return true;
 }
 
-// An event that the caller already has: compared if it may stem from another
-// run, else dropped.
+std::uint64_t AnswerRelay::ResumeOffset() const {
+  // Zero would start the stream anew.
+  return next_ <= 1 ? next_ : next_ - std::min(kResumeOverlap, next_ - 1);
+}
+
+// An event that the caller already has is compared, as it may stem from
+// another run, and dropped.
 bool AnswerRelay::OnRepeatedEvent(std::uint64_t position,
                                   std::string_view event) {
-  if (!options_.compare_repeats) return true;
-  if (ChatEventTextHash(event) == delivered_hashes_[position]) return true;
+  if (SameAsDelivered(position, event)) return true;
   return Fail(RelayFault::kDiffers);
 }
 
+// Older events than the last few are remembered only if asked for.
+bool AnswerRelay::SameAsDelivered(std::uint64_t position,
+                                  std::string_view event) const {
+  if (options_.compare_repeats) {
+    return ChatEventTextHash(event) == delivered_hashes_[position];
+  }
+  if (position + kResumeOverlap < next_) return true;
+  const std::string& recent = recent_[position % kResumeOverlap];
+  return event == recent ||
+         ChatEventTextHash(event) == ChatEventTextHash(recent);
+}
+
 bool AnswerRelay::OnPiece(std::uint64_t position, std::string_view bytes) {
   if (position + bytes.size() <= body_.size()) return true;
   if (position != body_.size()) return Fail(RelayFault::kGap);
@@ -129,6 +146,7 @@
 }
 
 void AnswerRelay::Remember(std::string_view event) {
+  recent_[next_ % kResumeOverlap].assign(event);
   if (options_.compare_repeats) {
     delivered_hashes_.push_back(ChatEventTextHash(event));
   }
--- a/src/request/answer_relay.h
+++ b/src/request/answer_relay.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAREEL_SRC_REQUEST_ANSWER_RELAY_H_
 #define WISTERIAREEL_SRC_REQUEST_ANSWER_RELAY_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -72,6 +73,10 @@
   int status() const { return status_; }
   // Events of a stream passed on to the caller so far.
   std::uint64_t delivered() const { return next_; }
+  // Returns the event from which a resumption asks for the stream again: the
+  // last ones that the caller has come once more, and show whether the target
+  // goes on with the same run.
+  std::uint64_t ResumeOffset() const;
   // True if any part of an answer arrived during the current attempt.
   bool attempt_answered() const { return status_ != 0; }
   // Events that carry a part of the answer.
@@ -80,12 +85,16 @@
   // Returns the whole answer for keeping; nullopt if it was too large.
   std::optional<KeptAnswer> TakeKept();
 
+  // Events that a resumption asks for again.
+  static constexpr std::uint64_t kResumeOverlap = 2;
+
  private:
   class AttemptSink;
 
   void OnHead(int status, std::string_view content_type);
   bool OnData(std::uint64_t position, std::string_view bytes);
   bool OnEvent(std::uint64_t position, std::string_view event);
+  bool SameAsDelivered(std::uint64_t position, std::string_view event) const;
   bool OnRepeatedEvent(std::uint64_t position, std::string_view event);
   bool OnPiece(std::uint64_t position, std::string_view bytes);
   bool PassOn(std::string_view event);
@@ -110,6 +119,8 @@
   bool head_written_ = false;
   std::optional<ChatUsage> usage_;
   std::vector<std::uint64_t> delivered_hashes_;
+  // The last events passed on, by position.
+  std::array<std::string, kResumeOverlap> recent_;
   std::string kept_stream_;
   bool kept_overflowed_ = false;
   absl::Time last_event_;
--- a/src/request/billing.cc
+++ b/src/request/billing.cc
@@ -9,12 +9,11 @@
 constexpr int kFirstServerError = 500;
 
 Tokens PriceOfChat(const EndedRequest& request) {
-  if (request.usage) return request.usage->prompt + request.usage->output;
   const Tokens events(static_cast<std::int64_t>(request.output_events));
-  if (!request.whole) {
-    const bool left = request.reason == Reason::kCallerGone;
-    return left ? request.prompt_bound + events : events;
-  }
+  const bool left = request.reason == Reason::kCallerGone;
+  if (!request.whole && !left) return events;
+  if (request.usage) return request.usage->prompt + request.usage->output;
+  if (!request.whole) return request.prompt_bound + events;
   if (request.status >= kFirstErrorStatus) return Tokens();
   return request.streamed ? request.prompt_bound + events : request.worst_case;
 }
--- a/src/request/request_run.cc
+++ b/src/request/request_run.cc
@@ -236,7 +236,7 @@
                   .connect_timeout = options_.timeouts.connect,
                   .deadline = deadline_};
   if (!request_.content_type.empty()) call.content_type = request_.content_type;
-  if (resuming_) call.resume_offset = relay_->delivered();
+  if (resuming_) call.resume_offset = relay_->ResumeOffset();
   call.progress_timeout = deadline_ - options_.clock->Now();
   if (request_.streamed) {
     call.progress_timeout =
--- a/src/request/retry_policy.cc
+++ b/src/request/retry_policy.cc
@@ -54,7 +54,8 @@
     return {again ? NextStep::kRetry : NextStep::kDeliver, reason};
   }
   if (IsFinal(state.fault) || !attempts_left) return {NextStep::kFail, reason};
-  const bool resumable = state.streamed && state.delivered > 0 &&
+  // A single event leaves none to compare a resumption with.
+  const bool resumable = state.streamed && state.delivered > 1 &&
                          state.fault != RelayFault::kNotResumable;
   if (resumable && state.fruitless_resumes < options_.max_fruitless_resumes) {
     return {NextStep::kResume, reason};
