Connect instances over websockets with authenticated CBOR frames

Both ends prove the shared secret by an HMAC over both nonces and ids, and every later frame carries a number and an HMAC under a key of the session: a replayed, forged, reflected or reordered frame ends the connection. The decoder takes only flat maps, so that nested input can't exhaust the stack.

--- a/include/wisteriareel/counters.h
+++ b/include/wisteriareel/counters.h
@@ -33,6 +33,7 @@
   kTableWrites,
   kCallersRefused,
   kConfigChangesApplied,
+  kPeerMessagesDropped,
 };
 
 // Where the parts of the system report what they did. Thread-safe and cheap
--- a/include/wisteriareel/reason.h
+++ b/include/wisteriareel/reason.h
@@ -80,6 +80,10 @@
   kConnectionLimit = 802,
   kPeerVersionUnsupported = 803,
   kPeerFrameMalformed = 804,
+  kPeerSecretWrong = 830,
+  kPeerWrongInstance = 831,
+  kPeerSilent = 832,
+  kPeerQueueFull = 833,
 };
 
 // Returns the reason's stable name in lower snake case, or "unknown".
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -115,6 +115,14 @@
       return "peer_version_unsupported";
     case Reason::kPeerFrameMalformed:
       return "peer_frame_malformed";
+    case Reason::kPeerSecretWrong:
+      return "peer_secret_wrong";
+    case Reason::kPeerWrongInstance:
+      return "peer_wrong_instance";
+    case Reason::kPeerSilent:
+      return "peer_silent";
+    case Reason::kPeerQueueFull:
+      return "peer_queue_full";
   }
   return "unknown";
 }
--- a/src/observability/metric_names.cc
+++ b/src/observability/metric_names.cc
@@ -31,6 +31,9 @@
     case Counter::kConfigChangesApplied:
       return {"wisteriareel_config_changes_applied_total",
               "Configuration changes brought into force here."};
+    case Counter::kPeerMessagesDropped:
+      return {"wisteriareel_peer_messages_dropped_total",
+              "Messages to other instances that were given up unsent."};
   }
   return {};
 }
--- /dev/null
+++ b/src/peer/peer_session.cc
@@ -0,0 +1,242 @@
+#include "src/peer/peer_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "src/security/digest.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr char kInitiatorLabel[] = "wisteriareel peer initiator";
+constexpr char kAcceptorLabel[] = "wisteriareel peer acceptor";
+constexpr char kSessionLabel[] = "wisteriareel peer session";
+
+// Appends a part with its length, so that no two lists of parts give the same
+// bytes.
+void AppendPart(std::string* out, std::string_view part) {
+  absl::StrAppend(out, part.size(), ":");
+  out->append(part.data(), part.size());
+}
+
+PeerSide OtherSide(PeerSide side) {
+  return side == PeerSide::kInitiator ? PeerSide::kAcceptor
+                                      : PeerSide::kInitiator;
+}
+
+}  // namespace
+
+PeerSession::PeerSession(PeerSessionOptions options, PeerSide side,
+                         InstanceId expected, std::string nonce, absl::Time now)
+    : options_(std::move(options)),
+      side_(side),
+      nonce_(std::move(nonce)),
+      state_(side == PeerSide::kInitiator ? State::kAwaitChallenge
+                                          : State::kAwaitHello),
+      peer_(std::move(expected)),
+      last_sent_(now),
+      last_received_(now),
+      last_message_(now) {}
+
+PeerActions PeerSession::Open(absl::Time now) {
+  PeerActions actions;
+  last_received_ = now;
+  if (side_ == PeerSide::kAcceptor) return actions;
+  actions.frames.push_back(EncodePeerFrame({.kind = PeerFrameKind::kHello,
+                                            .version = kPeerProtocolVersion,
+                                            .instance = options_.self.value(),
+                                            .nonce = nonce_}));
+  return actions;
+}
+
+PeerActions PeerSession::Receive(std::string_view bytes, absl::Time now) {
+  if (state_ == State::kClosed) return {};
+  if (!established() && bytes.size() > kMaxHandshakeFrameBytes) {
+    return Close(Reason::kPeerFrameMalformed, "handshake frame too large");
+  }
+  LastReason reason;
+  const std::optional<PeerFrame> frame = DecodePeerFrame(bytes, &reason);
+  if (!frame) return Close(reason.reason(), reason.detail());
+  if (established()) return OnSessionFrame(*frame, now);
+  // Handshake frames don't extend the time for the handshake.
+  if (state_ == State::kAwaitHello && frame->kind == PeerFrameKind::kHello) {
+    return OnHello(*frame);
+  }
+  if (state_ == State::kAwaitChallenge &&
+      frame->kind == PeerFrameKind::kChallenge) {
+    return OnChallenge(*frame, now);
+  }
+  if (state_ == State::kAwaitProof && frame->kind == PeerFrameKind::kProof) {
+    last_received_ = now;
+    return OnProof(*frame);
+  }
+  return Close(Reason::kPeerFrameMalformed, "frame out of turn");
+}
+
+PeerActions PeerSession::Tick(absl::Time now) {
+  if (state_ == State::kClosed) return {};
+  if (now - last_received_ >= options_.silence) {
+    return Close(Reason::kPeerSilent,
+                 established() ? "nothing heard" : "handshake not completed");
+  }
+  PeerActions actions;
+  if (established() && now - last_sent_ >= options_.heartbeat) {
+    last_sent_ = now;
+    actions.frames.push_back(Seal({.kind = PeerFrameKind::kPing}));
+  }
+  return actions;
+}
+
+std::string PeerSession::Send(const PeerMessage& message, absl::Time now) {
+  last_sent_ = now;
+  last_message_ = now;
+  return Seal({.kind = PeerFrameKind::kMessage,
+               .message_kind = static_cast<std::uint8_t>(message.kind),
+               .payload = message.payload});
+}
+
+std::string PeerSession::Goodbye() {
+  return Seal({.kind = PeerFrameKind::kGoodbye});
+}
+
+PeerActions PeerSession::Close(Reason reason, const std::string& detail) {
+  state_ = State::kClosed;
+  PeerActions actions;
+  actions.close = reason;
+  actions.detail = detail;
+  return actions;
+}
+
+PeerActions PeerSession::OnHello(const PeerFrame& frame) {
+  offered_version_ = frame.version;
+  version_ = std::min(frame.version, kPeerProtocolVersion);
+  if (version_ < kOldestPeerProtocolVersion) {
+    return Close(Reason::kPeerVersionUnsupported,
+                 absl::StrCat("version ", frame.version));
+  }
+  if (frame.instance == options_.self.value()) {
+    return Close(Reason::kPeerWrongInstance, "it uses this instance's id");
+  }
+  peer_ = InstanceId(frame.instance);
+  peer_nonce_ = frame.nonce;
+  state_ = State::kAwaitProof;
+  PeerActions actions;
+  actions.frames.push_back(EncodePeerFrame({.kind = PeerFrameKind::kChallenge,
+                                            .version = version_,
+                                            .instance = options_.self.value(),
+                                            .nonce = nonce_,
+                                            .mac = Proof(side_)}));
+  return actions;
+}
+
+PeerActions PeerSession::OnChallenge(const PeerFrame& frame, absl::Time now) {
+  if (frame.version < kOldestPeerProtocolVersion ||
+      frame.version > kPeerProtocolVersion) {
+    return Close(Reason::kPeerVersionUnsupported,
+                 absl::StrCat("version ", frame.version));
+  }
+  const InstanceId claimed(frame.instance);
+  if (claimed != peer_ || claimed == options_.self) {
+    return Close(Reason::kPeerWrongInstance,
+                 absl::StrCat("it is ", frame.instance));
+  }
+  version_ = frame.version;
+  peer_nonce_ = frame.nonce;
+  if (!EqualInConstantTime(frame.mac, Proof(PeerSide::kAcceptor))) {
+    return Close(Reason::kPeerSecretWrong, "acceptor's proof");
+  }
+  PeerActions actions;
+  actions.frames.push_back(EncodePeerFrame(
+      {.kind = PeerFrameKind::kProof, .mac = Proof(PeerSide::kInitiator)}));
+  last_received_ = now;
+  Establish();
+  actions.established = true;
+  return actions;
+}
+
+PeerActions PeerSession::OnProof(const PeerFrame& frame) {
+  if (!EqualInConstantTime(frame.mac, Proof(PeerSide::kInitiator))) {
+    return Close(Reason::kPeerSecretWrong, "initiator's proof");
+  }
+  Establish();
+  PeerActions actions;
+  actions.established = true;
+  return actions;
+}
+
+PeerActions PeerSession::OnSessionFrame(const PeerFrame& frame,
+                                        absl::Time now) {
+  const std::string expected = Mac(frame, OtherSide(side_));
+  if (!EqualInConstantTime(frame.mac, expected)) {
+    return Close(Reason::kPeerFrameMalformed, "frame not authentic");
+  }
+  if (frame.sequence != received_) {
+    return Close(Reason::kPeerFrameMalformed, "frame out of sequence");
+  }
+  ++received_;
+  last_received_ = now;
+  PeerActions actions;
+  switch (frame.kind) {
+    case PeerFrameKind::kMessage:
+      last_message_ = now;
+      actions.messages.push_back(
+          {static_cast<PeerMessageKind>(frame.message_kind), frame.payload});
+      return actions;
+    case PeerFrameKind::kPing:
+      last_sent_ = now;
+      actions.frames.push_back(Seal({.kind = PeerFrameKind::kPong}));
+      return actions;
+    case PeerFrameKind::kPong:
+      return actions;
+    case PeerFrameKind::kGoodbye:
+      return Close(Reason::kCancelled, "closed by the other end");
+    default:
+      return Close(Reason::kPeerFrameMalformed, "frame out of turn");
+  }
+}
+
+std::string PeerSession::Transcript() const {
+  const bool initiator = side_ == PeerSide::kInitiator;
+  std::string parts;
+  AppendPart(&parts, absl::StrCat(offered_version_));
+  AppendPart(&parts, absl::StrCat(version_));
+  AppendPart(&parts, initiator ? options_.self.value() : peer_.value());
+  AppendPart(&parts, initiator ? peer_.value() : options_.self.value());
+  AppendPart(&parts, initiator ? nonce_ : peer_nonce_);
+  AppendPart(&parts, initiator ? peer_nonce_ : nonce_);
+  return parts;
+}
+
+std::string PeerSession::Proof(PeerSide side) const {
+  std::string parts;
+  AppendPart(&parts,
+             side == PeerSide::kInitiator ? kInitiatorLabel : kAcceptorLabel);
+  return HmacSha256(options_.secret, parts + Transcript());
+}
+
+void PeerSession::Establish() {
+  std::string parts;
+  AppendPart(&parts, kSessionLabel);
+  session_key_ = HmacSha256(options_.secret, parts + Transcript());
+  state_ = State::kEstablished;
+}
+
+std::string PeerSession::Seal(PeerFrame frame) {
+  frame.sequence = sent_++;
+  frame.mac = Mac(frame, side_);
+  return EncodePeerFrame(frame);
+}
+
+std::string PeerSession::Mac(const PeerFrame& frame, PeerSide sender) const {
+  std::string parts;
+  AppendPart(&parts,
+             sender == PeerSide::kInitiator ? kInitiatorLabel : kAcceptorLabel);
+  AppendPart(&parts, absl::StrCat(static_cast<int>(frame.kind)));
+  AppendPart(&parts, absl::StrCat(frame.sequence));
+  AppendPart(&parts, absl::StrCat(static_cast<int>(frame.message_kind)));
+  AppendPart(&parts, frame.payload);
+  return HmacSha256(session_key_, parts);
+}
+
+}  // namespace wisteriareel
--- a/test/ops_tests.cmake
+++ b/test/ops_tests.cmake
@@ -4,3 +4,8 @@
 wisteriareel_test(security_test LIBRARIES wisteriareel_security rapidcheck)
 wisteriareel_test(rpc_operator_server_test LIBRARIES
   wisteriareel_ctl wisteriareel_rpc wisteriareel_observability)
+wisteriareel_test(peer_frame_test LIBRARIES wisteriareel_peer rapidcheck)
+wisteriareel_test(peer_session_test LIBRARIES wisteriareel_peer rapidcheck)
+wisteriareel_test(peer_book_test LIBRARIES wisteriareel_peer rapidcheck)
+wisteriareel_test(peer_transport_test THREADED LIBRARIES
+  wisteriareel_peer wisteriareel_observability)
--- /dev/null
+++ b/test/peer_frame_test.cc
@@ -0,0 +1,143 @@
+#include "src/peer/peer_frame.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/escaping.h"
+#include "gtest/gtest.h"
+#include "rapidcheck.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr std::uint32_t kFuzzSeed = 20261204;
+constexpr int kFuzzRounds = 200'000;
+
+PeerFrame Message(const std::string& payload) {
+  return {.kind = PeerFrameKind::kMessage,
+          .sequence = 7,
+          .message_kind = 4,
+          .payload = payload,
+          .mac = std::string(kPeerMacBytes, 'm')};
+}
+
+std::optional<PeerFrame> Decode(const std::string& bytes) {
+  LastReason reason;
+  std::optional<PeerFrame> frame = DecodePeerFrame(bytes, &reason);
+  EXPECT_EQ(reason.reason(),
+            frame ? Reason::kNone : Reason::kPeerFrameMalformed);
+  return frame;
+}
+
+// One frame of each kind.
+std::vector<PeerFrame> Corpus() {
+  const std::string nonce(kPeerNonceBytes, 'n');
+  const std::string mac(kPeerMacBytes, 'm');
+  return {{.kind = PeerFrameKind::kHello,
+           .version = 1,
+           .instance = "entry-1",
+           .nonce = nonce},
+          {.kind = PeerFrameKind::kChallenge,
+           .version = 1,
+           .instance = "entry-2",
+           .nonce = nonce,
+           .mac = mac},
+          {.kind = PeerFrameKind::kProof, .mac = mac},
+          Message("payload"),
+          {.kind = PeerFrameKind::kPing, .sequence = 1, .mac = mac},
+          {.kind = PeerFrameKind::kPong, .sequence = 300, .mac = mac},
+          {.kind = PeerFrameKind::kGoodbye, .sequence = 70000, .mac = mac}};
+}
+
+TEST(PeerFrameTest, EveryKindSurvivesTheWire) {
+  for (const PeerFrame& frame : Corpus()) {
+    EXPECT_EQ(Decode(EncodePeerFrame(frame)), frame)
+        << static_cast<int>(frame.kind);
+  }
+  EXPECT_TRUE(rc::check([](const std::string& payload) {
+    RC_ASSERT(Decode(EncodePeerFrame(Message(payload))) == Message(payload));
+  }));
+}
+
+TEST(PeerFrameTest, NoBeginningOfAFrameAndNothingLongerIsAFrame) {
+  for (const PeerFrame& frame : Corpus()) {
+    const std::string bytes = EncodePeerFrame(frame);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+      EXPECT_FALSE(Decode(bytes.substr(0, n))) << n;
+    }
+    EXPECT_FALSE(Decode(bytes + std::string(1, '\0')));
+    EXPECT_FALSE(Decode(bytes + bytes));
+  }
+}
+
+TEST(PeerFrameTest, RefusesHostileBytes) {
+  // Nested so deeply that a recursive decoder would run out of stack.
+  EXPECT_FALSE(Decode(std::string(1 << 20, '\x81')));
+  EXPECT_FALSE(Decode(std::string(1 << 20, '\xa1')));
+  for (const char* hex : {
+           "",                          // Nothing.
+           "a0",                        // A map without a kind.
+           "a1616b00",                  // An unknown kind.
+           "a1616b1901f4",              // A kind beyond a byte.
+           "a1616b05",                  // A ping without its fields.
+           "a2616b05616b05",            // A field twice.
+           "a1617a01",                  // An unknown field.
+           "a1616bf6",                  // A kind that is null.
+           "a1616b8105",                // A kind that is a list.
+           "bb7fffffffffffffff",        // A map of 2^63 fields.
+           "a161707b7fffffffffffffff",  // A text of 2^63 bytes.
+           "a161705b7fffffffffffffff",  // 2^63 bytes.
+           "bf616b05ff",                // Of indefinite length, incomplete.
+           "ff",
+           "f7",
+           "fb7ff8000000000000",
+       }) {
+    EXPECT_FALSE(Decode(absl::HexStringToBytes(hex))) << hex;
+  }
+  EXPECT_FALSE(Decode(
+      EncodePeerFrame(Message(std::string(kMaxPeerPayloadBytes + 1, 'x')))));
+  EXPECT_TRUE(
+      Decode(EncodePeerFrame(Message(std::string(kMaxPeerPayloadBytes, 'x')))));
+}
+
+// Whatever the bytes: no crash, and what is taken for a frame is one.
+TEST(PeerFrameTest, MutatedFramesAreRefusedOrReadAsTheyAreWritten) {
+  std::mt19937 random(kFuzzSeed);
+  std::vector<std::string> corpus;
+  for (const PeerFrame& it : Corpus()) corpus.push_back(EncodePeerFrame(it));
+  int accepted = 0;
+  for (int n = 0; n < kFuzzRounds; ++n) {
+    std::string bytes = corpus[random() % corpus.size()];
+    for (std::uint32_t edits = 1 + random() % 4; edits > 0; --edits) {
+      const std::size_t at = random() % (bytes.size() + 1);
+      const char c = static_cast<char>(random());
+      switch (random() % 4) {
+        case 0:
+          bytes.insert(at, 1, c);
+          break;
+        case 1:
+          bytes = bytes.substr(0, at) + corpus[random() % corpus.size()];
+          break;
+        case 2:
+          if (at < bytes.size()) bytes.erase(at, 1 + random() % 8);
+          break;
+        default:
+          if (at < bytes.size()) bytes[at] = c;
+      }
+    }
+    const std::optional<PeerFrame> frame = Decode(bytes);
+    if (!frame) continue;
+    ++accepted;
+    ASSERT_EQ(Decode(EncodePeerFrame(*frame)), frame)
+        << absl::BytesToHexString(bytes);
+  }
+  // Changed payloads, nonces and numbers still make frames; the rest doesn't.
+  EXPECT_GT(accepted, kFuzzRounds / 100);
+  EXPECT_LT(accepted, kFuzzRounds / 2);
+}
+
+}  // namespace
+}  // namespace wisteriareel
