Drive a pool's targets to its plan under a fenced lease

The holder of a pool's duty reads targets and orders what is missing; a new holder waits out the old one's orders at targets that ignore fencing numbers, and all pools share the weight store's rate.

--- a/bench/control_slopes.cc
+++ b/bench/control_slopes.cc
@@ -168,9 +168,13 @@
             fleet.network.ReceivedBy(fleet.instances[at]->id).bytes - bytes) /
             1e6);
   };
-  print("the platform", 1);
+  print("a peer", 1);
   fleet.table.SetFaults({.outage = true});
-  print("a peer", 2);
+  print("a peer, platform away", 2);
+  fleet.table.SetFaults({});
+  fleet.network.SetLinks(
+      [](const InstanceId&, const InstanceId&) { return false; });
+  print("the platform, no peer answers", 3);
 }
 
 void PrintLease() {
--- a/include/wisteriareel/membership.h
+++ b/include/wisteriareel/membership.h
@@ -1,9 +1,12 @@
 #ifndef WISTERIAREEL_MEMBERSHIP_H_
 #define WISTERIAREEL_MEMBERSHIP_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -71,6 +74,11 @@
   // spreads it to the zone.
   void ReportTargetLeaving(const TargetId& target);
 
+  // Returns this instance's rank among the candidates for `duty`, counted
+  // from zero, or nullopt if it is none. Each zone has one candidate, its
+  // first live member in rendezvous order. For LeaseKeeper::Options::rank.
+  std::optional<std::size_t> DutyRank(const std::string& duty) const;
+
   std::vector<Member> ZoneMembers() const override;
   std::vector<Member> AllMembers() const override;
   std::optional<Member> FindMember(const InstanceId& id) const override;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -113,6 +113,15 @@
     return *member;
   }
 
+  std::optional<std::size_t> DutyRank(const std::string& duty) const {
+    std::lock_guard<std::mutex> lock(mutex_);
+    if (!IsFirstOfZone(duty)) return std::nullopt;
+    const InstanceId own(options_.zone.value());
+    std::vector<InstanceId> zones = {own};
+    for (const ZoneId& zone : relay_.Zones()) zones.emplace_back(zone.value());
+    return RendezvousRank(duty, own, zones);
+  }
+
   bool TargetLeaving(const TargetId& target) const {
     return published_leaving_.Load()->contains(target);
   }
@@ -206,8 +215,8 @@
     const double jitter =
         1 + kPollJitter * (2 * options_.random->Fraction() - 1);
     next_list_ = options_.clock->Now() +
-                 jitter * (IsListReader() ? options_.reader_poll
-                                          : options_.backstop_poll);
+                 jitter * (IsFirstOfZone("list") ? options_.reader_poll
+                                                 : options_.backstop_poll);
   }
 
   void TakeList(const std::vector<ListedInstance>& listed) {
@@ -220,15 +229,16 @@
     PublishLeaving();
   }
 
-  bool IsListReader() const {
+  // Returns whether this instance is the first in rendezvous order of its
+  // zone's members that are heard.
+  bool IsFirstOfZone(const std::string& topic) const {
     std::vector<InstanceId> heard;
     for (const Member& member : detector_.Members()) {
       const bool counts =
           member.state == MemberState::kAlive || member.id == options_.self;
       if (counts) heard.push_back(member.id);
     }
-    return RendezvousRank(absl::StrCat("list/", options_.zone.value()),
-                          options_.self, heard) == 0;
+    return RendezvousRank(topic, options_.self, heard) == 0;
   }
 
   void PublishLeaving() {
@@ -293,6 +303,10 @@
   state_->ReportTargetLeaving(target);
 }
 
+std::optional<std::size_t> Membership::DutyRank(const std::string& duty) const {
+  return state_->DutyRank(duty);
+}
+
 std::vector<Member> Membership::ZoneMembers() const {
   return state_->ZoneMembers();
 }
--- a/src/membership/zone_relay.cc
+++ b/src/membership/zone_relay.cc
@@ -154,6 +154,13 @@
   return contacts;
 }
 
+std::vector<ZoneId> ZoneRelay::Zones() const {
+  std::vector<ZoneId> ids;
+  ids.reserve(zones_.size());
+  for (const auto& [id, zone] : zones_) ids.push_back(id);
+  return ids;
+}
+
 const Member* ZoneRelay::Find(const InstanceId& id) const {
   for (const auto& [zone_id, zone] : zones_) {
     const auto it = zone.members.find(id);
--- a/src/membership/zone_relay.h
+++ b/src/membership/zone_relay.h
@@ -56,6 +56,9 @@
   // Returns the members of other zones that this zone relates to.
   std::vector<Member> Contacts() const;
 
+  // Returns all other zones.
+  std::vector<ZoneId> Zones() const;
+
   // Returns the member `id` of another zone, or null.
   const Member* Find(const InstanceId& id) const;
 
--- a/test/config_tests.cmake
+++ b/test/config_tests.cmake
@@ -1,3 +1,5 @@
 wisteriareel_test(config_store_test LIBRARIES wisteriareel_config rapidcheck)
 wisteriareel_test(config_follower_test
   LIBRARIES wisteriareel_membership wisteriareel_config rapidcheck)
+wisteriareel_test(config_staleness_test
+  LIBRARIES wisteriareel_membership wisteriareel_config)
--- /dev/null
+++ b/test/lifecycle_reconciler_test.cc
@@ -0,0 +1,337 @@
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+#include "rapidcheck/gtest.h"
+#include "standin/fakes/manual_clock.h"
+#include "standin/fakes/memory_table.h"
+#include "wisteriareel/config_immutable_snapshot.h"
+#include "wisteriareel/config_published.h"
+#include "wisteriareel/lease_keeper.h"
+#include "wisteriareel/pool_reconciler.h"
+
+namespace wisteriareel {
+namespace {
+
+const PoolId kPool("chat");
+constexpr absl::Duration kInFlight = PoolReconciler::kDefaultOrderTimeout;
+
+// An order as a target carried it out.
+struct Effect {
+  TargetId target;
+  TargetOrder order;
+  absl::Time sent;
+  absl::Time took_effect;
+};
+
+// Targets that carry orders out at once, or up to the order's timeout later
+// while their replies are lost. The even ones check fencing numbers.
+class FakeTargets final : public TargetOrderClient {
+ public:
+  explicit FakeTargets(ManualClock* clock) : clock_(clock) {}
+
+  std::optional<TargetEngineState> ReadState(const Target& target,
+                                             absl::Duration /*timeout*/,
+                                             LastReason* /*reason*/) override {
+    clock_->Advance(read_takes);
+    Land();
+    return states_[target.id];
+  }
+
+  bool Send(const Target& target, const TargetOrder& order,
+            absl::Duration timeout, LastReason* reason) override {
+    const absl::Time now = clock_->Now();
+    if (order_delay > absl::ZeroDuration()) {
+      in_flight_.push_back(
+          {target.id, order, now, now + std::min(order_delay, timeout)});
+      checks_[target.id] = target.checks_fencing;
+      reason->Set(Reason::kTargetUnreachable, "reply lost");
+      return false;
+    }
+    checks_[target.id] = target.checks_fencing;
+    if (CarryOut({target.id, order, now, now})) return true;
+    reason->Set(Reason::kFencingNumberOld);
+    return false;
+  }
+
+  // Lets orders take effect whose delay has passed.
+  void Land() {
+    std::erase_if(in_flight_, [&](const Effect& effect) {
+      if (effect.took_effect > clock_->Now()) return false;
+      CarryOut(effect);
+      return true;
+    });
+  }
+
+  const std::vector<Effect>& effects() const { return effects_; }
+  TargetEngineState& state(const TargetId& id) { return states_[id]; }
+
+  // Accepts orders and never gets there.
+  TargetId stuck;
+  absl::Duration read_takes;
+  absl::Duration order_delay;
+
+ private:
+  bool CarryOut(const Effect& effect) {
+    const TargetOrder& order = effect.order;
+    FencingNumber& highest = highest_[effect.target];
+    if (checks_[effect.target] && order.fencing < highest) return false;
+    highest = std::max(highest, order.fencing);
+    effects_.push_back(effect);
+    if (effect.target == stuck) return true;
+    TargetEngineState& state = states_[effect.target];
+    switch (order.kind) {
+      case TargetOrderKind::kUnloadModel:
+        std::erase(state.models, ModelName(order.name));
+        break;
+      case TargetOrderKind::kUnloadAdapter:
+        std::erase(state.adapters, order.name);
+        break;
+      case TargetOrderKind::kSetVersion:
+        state.version = order.name;
+        break;
+      case TargetOrderKind::kLoadModel:
+        std::erase(state.models, ModelName(order.name));
+        state.models.emplace_back(order.name);
+        break;
+      case TargetOrderKind::kLoadAdapter:
+        std::erase(state.adapters, order.name);
+        state.adapters.push_back(order.name);
+        break;
+      case TargetOrderKind::kSetRole:
+        state.role = order.name;
+        break;
+    }
+    return true;
+  }
+
+  ManualClock* const clock_;
+  std::map<TargetId, TargetEngineState> states_;
+  std::map<TargetId, bool> checks_;
+  std::map<TargetId, FencingNumber> highest_;
+  std::vector<Effect> in_flight_;
+  std::vector<Effect> effects_;
+};
+
+PoolPlan MakePlan(int number) {
+  return {.pool = kPool,
+          .loaded_models = {ModelName(absl::StrCat("model-", number))},
+          .loaded_adapters = {absl::StrCat("adapter-", number)},
+          .version = absl::StrCat("v", number),
+          .role = number % 2 == 0 ? "both" : "decode"};
+}
+
+std::shared_ptr<const ImmutableConfigSnapshot> MakeConfig(int number,
+                                                          int targets) {
+  const Revision version(static_cast<std::uint64_t>(number) + 1);
+  std::vector<VersionedEntry> entries = {{MakePlan(number), version}};
+  for (int i = 0; i < targets; ++i) {
+    entries.push_back({Target{.id = TargetId(absl::StrCat("t", i)),
+                              .pool = kPool,
+                              .checks_fencing = i % 2 == 0},
+                       version});
+  }
+  return ImmutableConfigSnapshot::Build(version, entries);
+}
+
+// An instance that competes for the pool's duty.
+struct Holder {
+  Holder(const std::string& name, ManualClock* clock, TableService* table,
+         RandomSource* random, FakeTargets* targets)
+      : lease({.duty = "pool/chat",
+               .self = InstanceId(name),
+               .clock = clock,
+               .table = table,
+               .random = random}),
+        reconciler({.pool = kPool,
+                    .clock = clock,
+                    .config = &config,
+                    .lease = &lease,
+                    .client = targets}) {}
+
+  // Steps both loops when they are due.
+  void Run(absl::Time now) {
+    if (now >= lease_due) lease_due = now + lease.Step();
+    for (int i = 0; i < 20 && now >= reconcile_due; ++i) {
+      reconcile_due = now + reconciler.Step();
+    }
+  }
+
+  PublishedConfig config;
+  LeaseKeeper lease;
+  PoolReconciler reconciler;
+  absl::Time lease_due = absl::InfinitePast();
+  absl::Time reconcile_due = absl::InfinitePast();
+  bool paused = false;
+};
+
+class PoolReconcilerTest : public testing::Test {
+ protected:
+  void Run(Holder* holder, absl::Duration duration) {
+    const absl::Time end = clock_.Now() + duration;
+    while (clock_.Now() < end) {
+      targets_.Land();
+      holder->Run(clock_.Now());
+      clock_.Advance(absl::Milliseconds(250));
+    }
+  }
+
+  ManualClock clock_;
+  MemoryTable table_;
+  std::unique_ptr<RandomSource> random_ = MakeSeededRandom(1);
+  FakeTargets targets_{&clock_};
+  Holder a_{"a", &clock_, &table_, random_.get(), &targets_};
+  Holder b_{"b", &clock_, &table_, random_.get(), &targets_};
+};
+
+TEST_F(PoolReconcilerTest, BringsAllTargetsToThePlan) {
+  targets_.state(TargetId("t1")).models = {ModelName("old")};
+  a_.config.Publish(MakeConfig(1, 4), ConfigOrigin::kPlatform);
+  Run(&a_, absl::Minutes(2));
+  EXPECT_TRUE(a_.reconciler.converged());
+  const PoolPlan plan = MakePlan(1);
+  for (int i = 0; i < 4; ++i) {
+    const auto& state = targets_.state(TargetId(absl::StrCat("t", i)));
+    EXPECT_EQ(state.models, plan.loaded_models) << i;
+    EXPECT_EQ(state.adapters, plan.loaded_adapters) << i;
+    EXPECT_EQ(state.version, plan.version) << i;
+    EXPECT_EQ(state.role, plan.role) << i;
+  }
+}
+
+TEST_F(PoolReconcilerTest, SpreadsLoadsUnderTheWeightStoresRate) {
+  a_.config.Publish(MakeConfig(1, 8), ConfigOrigin::kPlatform);
+  Run(&a_, absl::Minutes(2));
+  absl::Time last = absl::InfinitePast();
+  int loads = 0;
+  for (const Effect& effect : targets_.effects()) {
+    if (!ReadsWeights(effect.order.kind)) continue;
+    ++loads;
+    EXPECT_GE(effect.sent - last, absl::Milliseconds(500));
+    last = effect.sent;
+  }
+  EXPECT_EQ(loads, 8 * 3);
+}
+
+TEST_F(PoolReconcilerTest, ChangesTheOthersPastAStuckTarget) {
+  a_.config.Publish(MakeConfig(1, 4), ConfigOrigin::kPlatform);
+  targets_.stuck = TargetId("t0");
+  Run(&a_, absl::Minutes(12));
+  for (int i = 1; i < 4; ++i) {
+    EXPECT_EQ(targets_.state(TargetId(absl::StrCat("t", i))).version, "v1")
+        << i;
+  }
+  EXPECT_FALSE(a_.reconciler.converged());
+}
+
+TEST_F(PoolReconcilerTest, GivesNoOrderAfterAReadThatOutlivedTheLease) {
+  a_.config.Publish(MakeConfig(1, 1), ConfigOrigin::kPlatform);
+  a_.lease.Step();
+  targets_.read_takes = absl::Seconds(30);
+  for (int i = 0; i < 5; ++i) a_.reconciler.Step();
+  EXPECT_TRUE(targets_.effects().empty());
+}
+
+TEST_F(PoolReconcilerTest, StopsWhenATargetKnowsOfANewerHolder) {
+  a_.config.Publish(MakeConfig(1, 8), ConfigOrigin::kPlatform);
+  Target target{.id = TargetId("t0"), .checks_fencing = true};
+  LastReason reason;
+  targets_.Send(target, {.name = "x", .fencing = FencingNumber(9)}, kInFlight,
+                &reason);
+  Run(&a_, absl::Seconds(30));
+  EXPECT_EQ(targets_.effects().size(), 1u);
+}
+
+// Two instances, one of which may hold an older plan, are paused at any
+// moment; orders are delayed and their replies lost. No order of an old
+// holder takes effect after one of its successor: at targets that check
+// fencing numbers because they refuse it, at others because the successor
+// sends nothing earlier. The pool reaches the newest plan in the end.
+RC_GTEST_PROP(PoolReconcilerProperty, KeepsOldHoldersFromActing, ()) {
+  constexpr int kTargets = 3;
+  ManualClock clock;
+  MemoryTable table;
+  FakeTargets targets(&clock);
+  const auto random = MakeSeededRandom(*rc::gen::arbitrary<std::uint64_t>());
+  Holder a("a", &clock, &table, random.get(), &targets);
+  Holder b("b", &clock, &table, random.get(), &targets);
+  Holder* holders[] = {&a, &b};
+  int newest = 0;
+  for (Holder* holder : holders) {
+    holder->config.Publish(MakeConfig(0, kTargets), ConfigOrigin::kPlatform);
+  }
+  const int steps = *rc::gen::inRange(40, 200);
+  for (int step = 0; step < steps; ++step) {
+    clock.Advance(absl::Milliseconds(*rc::gen::inRange(100, 3000)));
+    Holder& picked = *holders[*rc::gen::inRange(0, 2)];
+    switch (*rc::gen::inRange(0, 12)) {
+      case 0:
+        picked.paused = !picked.paused;
+        break;
+      case 1:
+        targets.order_delay = absl::Milliseconds(*rc::gen::inRange(0, 5001));
+        break;
+      case 2:
+        targets.order_delay = absl::ZeroDuration();
+        break;
+      case 3:
+        picked.config.Publish(MakeConfig(++newest, kTargets),
+                              ConfigOrigin::kPlatform);
+        break;
+      case 4:
+        table.SetFaults({.lose_replies = *rc::gen::inRange(0, 3)});
+        break;
+      default:
+        break;
+    }
+    targets.Land();
+    for (Holder* holder : holders) {
+      if (!holder->paused) holder->Run(clock.Now());
+    }
+  }
+  for (Holder* holder : holders) {
+    holder->paused = false;
+    holder->config.Publish(MakeConfig(newest, kTargets),
+                           ConfigOrigin::kPlatform);
+  }
+  targets.order_delay = absl::ZeroDuration();
+  table.SetFaults({});
+  for (int n = 0; n < 1200; ++n) {
+    clock.Advance(absl::Milliseconds(500));
+    targets.Land();
+    for (Holder* holder : holders) holder->Run(clock.Now());
+  }
+  std::map<TargetId, std::vector<Effect>> by_target;
+  FencingNumber highest;
+  for (const Effect& effect : targets.effects()) {
+    by_target[effect.target].push_back(effect);
+    highest = std::max(highest, effect.order.fencing);
+  }
+  for (const auto& [target, effects] : by_target) {
+    const bool checks = (target.value().back() - '0') % 2 == 0;
+    for (const Effect& old : effects) {
+      for (const Effect& next : effects) {
+        if (old.order.fencing >= next.order.fencing) continue;
+        RC_ASSERT(old.took_effect <= (checks ? next.took_effect : next.sent));
+      }
+    }
+  }
+  const PoolPlan plan = MakePlan(newest);
+  for (int i = 0; i < kTargets; ++i) {
+    const auto& state = targets.state(TargetId(absl::StrCat("t", i)));
+    RC_ASSERT(state.models == plan.loaded_models);
+    RC_ASSERT(state.adapters == plan.loaded_adapters);
+    RC_ASSERT(state.version == plan.version);
+    RC_ASSERT(state.role == plan.role);
+  }
+  RC_CLASSIFY(highest > FencingNumber(1), "changed hands");
+}
+
+}  // namespace
+}  // namespace wisteriareel
--- a/test/membership_test.cc
+++ b/test/membership_test.cc
@@ -23,6 +23,17 @@
     return member ? member->state : MemberState::kDead;
   }
 
+  static std::vector<std::string> LineNames(
+      const std::vector<RolloutLine>& lines) {
+    std::vector<std::string> names;
+    names.reserve(lines.size());
+    for (const RolloutLine& line : lines) {
+      names.push_back(
+          absl::StrCat(line.instance.value(), " at ", line.revision.value()));
+    }
+    return names;
+  }
+
   // Cuts the links between the two instances in both directions.
   void CutPair(std::size_t a, std::size_t b) {
     const InstanceId x(fleet_.listed()[a].id);
@@ -83,6 +94,16 @@
   }
 }
 
+TEST_F(MembershipTest, GivesADutyOneCandidatePerZone) {
+  std::vector<std::size_t> ranks;
+  for (const auto& instance : fleet_.instances) {
+    const auto rank = instance->membership.DutyRank("duty");
+    if (rank) ranks.push_back(*rank);
+  }
+  std::sort(ranks.begin(), ranks.end());
+  EXPECT_EQ(ranks, (std::vector<std::size_t>{0, 1}));
+}
+
 TEST_F(MembershipTest, TellsTheZoneOfALeavingTargetWithinThreeSeconds) {
   const TargetId target("target-7");
   fleet_.instances[2]->membership.ReportTargetLeaving(target);
@@ -117,11 +138,7 @@
   fleet_.Run(absl::Seconds(1));
   const auto lagging = fleet_.instances[0]->store.AwaitRollout(
       accepted->revision, absl::ZeroDuration());
-  ASSERT_EQ(lagging.size(), 1u)
-      << lagging[0].instance.value() << " at " << lagging[0].revision.value()
-      << ", " << lagging.back().instance.value() << " at "
-      << lagging.back().revision.value() << " of "
-      << accepted->revision.value();
+  ASSERT_EQ(lagging.size(), 1u) << testing::PrintToString(LineNames(lagging));
   EXPECT_EQ(lagging[0].instance, cut);
   EXPECT_EQ(lagging[0].zone, ZoneId("zone-1"));
   fleet_.network.SetLinks(nullptr);
--- a/test/membership_tests.cmake
+++ b/test/membership_tests.cmake
@@ -4,3 +4,9 @@
   LIBRARIES wisteriareel_membership rapidcheck)
 wisteriareel_test(control_counts_test
   LIBRARIES wisteriareel_membership wisteriareel_config)
+wisteriareel_test(membership_codec_test
+  LIBRARIES wisteriareel_membership wisteriareel_config rapidcheck)
+wisteriareel_test(membership_threads_test THREADED
+  LIBRARIES wisteriareel_membership wisteriareel_config)
+wisteriareel_test(membership_detector_test
+  LIBRARIES wisteriareel_membership)
