--- a/src/config/config_reader.cc
+++ b/src/config/config_reader.cc
@@ -31,11 +31,10 @@
     if (entry.version < at.version) continue;
     at = KnownEntry{entry.version, entry.value};
   }
+  // An entry newer than a delta is put right by the later delta that wrote it.
   for (const ConfigDelta& delta : deltas) {
     for (const EntryChange& change : delta.changes) {
-      KnownEntry& at = known[change.key];
-      if (delta.revision < at.version) continue;
-      at = KnownEntry{delta.revision, change.value};
+      known[change.key] = KnownEntry{delta.revision, change.value};
     }
   }
   std::vector<VersionedEntry> live;
--- a/test/config_tests.cmake
+++ b/test/config_tests.cmake
@@ -3,3 +3,4 @@
   LIBRARIES wisteriareel_membership wisteriareel_config rapidcheck)
 wisteriareel_test(config_staleness_test
   LIBRARIES wisteriareel_membership wisteriareel_config)
+wisteriareel_test(config_snapshot_test LIBRARIES wisteriareel_config rapidcheck)
--- a/test/lifecycle_reconciler_test.cc
+++ b/test/lifecycle_reconciler_test.cc
@@ -20,6 +20,8 @@
 namespace {
 
 const PoolId kPool("chat");
+// Targets of the pool in the property.
+constexpr int kTargets = 3;
 constexpr absl::Duration kInFlight = PoolReconciler::kDefaultOrderTimeout;
 
 // An order as a target carried it out.
@@ -47,9 +49,9 @@
   bool Send(const Target& target, const TargetOrder& order,
             absl::Duration timeout, LastReason* reason) override {
     const absl::Time now = clock_->Now();
-    if (order_delay > absl::ZeroDuration()) {
-      in_flight_.push_back(
-          {target.id, order, now, now + std::min(order_delay, timeout)});
+    const absl::Duration delay = std::min(order_delay, timeout) + send_pause;
+    if (delay > absl::ZeroDuration()) {
+      in_flight_.push_back({target.id, order, now, now + delay});
       checks_[target.id] = target.checks_fencing;
       reason->Set(Reason::kTargetUnreachable, "reply lost");
       return false;
@@ -76,6 +78,9 @@
   TargetId stuck;
   absl::Duration read_takes;
   absl::Duration order_delay;
+  // How long the sender is paused between its last look at the lease and
+  // sending the order.
+  absl::Duration send_pause;
 
  private:
   bool CarryOut(const Effect& effect) {
@@ -119,6 +124,23 @@
   std::vector<Effect> effects_;
 };
 
+// Returns the targets at which an order of an old holder took effect after
+// one of its successor: was carried out, or at targets that ignore fencing
+// numbers had been sent.
+std::vector<TargetId> OldEffects(const std::vector<Effect>& effects) {
+  std::vector<TargetId> found;
+  for (const Effect& old : effects) {
+    for (const Effect& next : effects) {
+      if (old.target != next.target) continue;
+      if (old.order.fencing >= next.order.fencing) continue;
+      const bool checks = (old.target.value().back() - '0') % 2 == 0;
+      const absl::Time barrier = checks ? next.took_effect : next.sent;
+      if (old.took_effect > barrier) found.push_back(old.target);
+    }
+  }
+  return found;
+}
+
 PoolPlan MakePlan(int number) {
   return {.pool = kPool,
           .loaded_models = {ModelName(absl::StrCat("model-", number))},
@@ -128,10 +150,11 @@
 }
 
 std::shared_ptr<const ImmutableConfigSnapshot> MakeConfig(int number,
-                                                          int targets) {
+                                                          int targets,
+                                                          int first = 0) {
   const Revision version(static_cast<std::uint64_t>(number) + 1);
   std::vector<VersionedEntry> entries = {{MakePlan(number), version}};
-  for (int i = 0; i < targets; ++i) {
+  for (int i = first; i < targets; ++i) {
     entries.push_back({Target{.id = TargetId(absl::StrCat("t", i)),
                               .pool = kPool,
                               .checks_fencing = i % 2 == 0},
@@ -140,6 +163,21 @@
   return ImmutableConfigSnapshot::Build(version, entries);
 }
 
+// A lease that is there for the first look in each step and then gone.
+class FleetingLease final : public LeaseView {
+ public:
+  std::optional<HeldLease> Held() const override {
+    if (looked_) return std::nullopt;
+    looked_ = true;
+    return HeldLease{FencingNumber(1), absl::InfiniteFuture()};
+  }
+
+  void BeginStep() { looked_ = false; }
+
+ private:
+  mutable bool looked_ = false;
+};
+
 // An instance that competes for the pool's duty.
 struct Holder {
   Holder(const std::string& name, ManualClock* clock, TableService* table,
@@ -238,6 +276,22 @@
   EXPECT_TRUE(targets_.effects().empty());
 }
 
+TEST_F(PoolReconcilerTest, LooksAtTheLeaseAgainRightBeforeAnOrder) {
+  FleetingLease lease;
+  a_.config.Publish(MakeConfig(1, 2), ConfigOrigin::kPlatform);
+  PoolReconciler reconciler({.pool = kPool,
+                             .clock = &clock_,
+                             .config = &a_.config,
+                             .lease = &lease,
+                             .client = &targets_});
+  for (int i = 0; i < 50; ++i) {
+    lease.BeginStep();
+    reconciler.Step();
+    clock_.Advance(absl::Seconds(1));
+  }
+  EXPECT_TRUE(targets_.effects().empty());
+}
+
 TEST_F(PoolReconcilerTest, StopsWhenATargetKnowsOfANewerHolder) {
   a_.config.Publish(MakeConfig(1, 8), ConfigOrigin::kPlatform);
   Target target{.id = TargetId("t0"), .checks_fencing = true};
@@ -248,13 +302,59 @@
   EXPECT_EQ(targets_.effects().size(), 1u);
 }
 
+// The old holder sends its last order as late as it may, is paused for almost
+// 8 s before it does, and the order takes its whole timeout. The successor
+// begins as early as it may.
+TEST(PoolReconcilerSuccession, WaitsOutTheLastOrderOfTheOldHolder) {
+  for (const double offset : {6.1, 8.0, 8.9, 9.1, 12.0, 14.9}) {
+    ManualClock clock;
+    MemoryTable table;
+    FakeTargets targets(&clock);
+    const auto random = MakeSeededRandom(1);
+    Holder a("a", &clock, &table, random.get(), &targets);
+    Holder b("b", &clock, &table, random.get(), &targets);
+    // One target, which ignores fencing numbers, is in the wanted state when
+    // the old holder's term begins.
+    const PoolPlan plan = MakePlan(0);
+    targets.state(TargetId("t1")) = {plan.loaded_models, plan.loaded_adapters,
+                                     plan.version, plan.role};
+    a.config.Publish(MakeConfig(0, 2, 1), ConfigOrigin::kPlatform);
+    b.config.Publish(MakeConfig(2, 2, 1), ConfigOrigin::kPlatform);
+    a.lease.Step();
+    b.lease.Step();
+    a.reconciler.Step();
+    clock.Advance(absl::Seconds(offset));
+    a.config.Publish(MakeConfig(1, 2, 1), ConfigOrigin::kPlatform);
+    targets.order_delay = kInFlight;
+    targets.send_pause = absl::Seconds(7.9);
+    for (int i = 0; i < 20; ++i) a.reconciler.Step();
+    targets.order_delay = absl::ZeroDuration();
+    targets.send_pause = absl::ZeroDuration();
+    clock.Advance(LeaseKeeper::kDefaultDuration + LeaseKeeper::kDefaultMargin -
+                  absl::Seconds(offset));
+    for (int i = 0; i < 400; ++i) {
+      targets.Land();
+      if (!b.lease.Held()) b.lease.Step();
+      b.Run(clock.Now());
+      clock.Advance(absl::Milliseconds(100));
+    }
+    EXPECT_TRUE(OldEffects(targets.effects()).empty()) << offset;
+    const bool in_time = offset < 9;
+    EXPECT_EQ(targets.effects().front().order.fencing.value(), in_time ? 1 : 2)
+        << offset;
+    EXPECT_EQ(targets.state(TargetId("t1")).version, "v2") << offset;
+  }
+}
+
 // Two instances, one of which may hold an older plan, are paused at any
-// moment; orders are delayed and their replies lost. No order of an old
+// moment, also for up to 7.9 s between the last look at the lease and the
+// order; orders are delayed and their replies lost. A new holder may send
+// 6 s + 1 s + 6 s after that look at the earliest, and an order is in flight
+// for up to 5 s, so that longer pauses would show. No order of an old
 // holder takes effect after one of its successor: at targets that check
 // fencing numbers because they refuse it, at others because the successor
 // sends nothing earlier. The pool reaches the newest plan in the end.
 RC_GTEST_PROP(PoolReconcilerProperty, KeepsOldHoldersFromActing, ()) {
-  constexpr int kTargets = 3;
   ManualClock clock;
   MemoryTable table;
   FakeTargets targets(&clock);
@@ -276,9 +376,11 @@
         break;
       case 1:
         targets.order_delay = absl::Milliseconds(*rc::gen::inRange(0, 5001));
+        targets.send_pause = absl::Milliseconds(*rc::gen::inRange(0, 7900));
         break;
       case 2:
         targets.order_delay = absl::ZeroDuration();
+        targets.send_pause = absl::ZeroDuration();
         break;
       case 3:
         picked.config.Publish(MakeConfig(++newest, kTargets),
@@ -301,27 +403,18 @@
                            ConfigOrigin::kPlatform);
   }
   targets.order_delay = absl::ZeroDuration();
+  targets.send_pause = absl::ZeroDuration();
   table.SetFaults({});
   for (int n = 0; n < 1200; ++n) {
     clock.Advance(absl::Milliseconds(500));
     targets.Land();
     for (Holder* holder : holders) holder->Run(clock.Now());
   }
-  std::map<TargetId, std::vector<Effect>> by_target;
   FencingNumber highest;
   for (const Effect& effect : targets.effects()) {
-    by_target[effect.target].push_back(effect);
     highest = std::max(highest, effect.order.fencing);
   }
-  for (const auto& [target, effects] : by_target) {
-    const bool checks = (target.value().back() - '0') % 2 == 0;
-    for (const Effect& old : effects) {
-      for (const Effect& next : effects) {
-        if (old.order.fencing >= next.order.fencing) continue;
-        RC_ASSERT(old.took_effect <= (checks ? next.took_effect : next.sent));
-      }
-    }
-  }
+  RC_ASSERT(OldEffects(targets.effects()).empty());
   const PoolPlan plan = MakePlan(newest);
   for (int i = 0; i < kTargets; ++i) {
     const auto& state = targets.state(TargetId(absl::StrCat("t", i)));
--- a/test/membership_threads_test.cc
+++ b/test/membership_threads_test.cc
@@ -16,6 +16,7 @@
  protected:
   ControlThreadsTest() {
     std::vector<ListedInstance> listed;
+    listed.reserve(3);
     for (int i = 0; i < 3; ++i) {
       listed.push_back({.id = absl::StrCat("instance-", i),
                         .zone = ZoneId(absl::StrCat("zone-", i / 2)),
