--- a/test/config_snapshot_test.cc
+++ b/test/config_snapshot_test.cc
@@ -40,9 +40,10 @@
 
 TEST(ImmutableConfigSnapshot, RefusesAGap) {
   const auto empty = std::make_shared<const ImmutableConfigSnapshot>();
-  ConfigDelta delta =
-      DeltaOn(*empty, {{KeyOf(TestCustomer(1)), TestCustomer(1)}});
-  delta.revision = delta.revision.Next();
+  const ConfigKey key = KeyOf(TestCustomer(1));
+  const ConfigDelta delta{.revision = Revision(2),
+                          .changes = {{key, TestCustomer(1)}},
+                          .digest = EntryDigest(key, Revision(2))};
   EXPECT_EQ(empty->Apply(delta), nullptr);
 }
 
