--- a/standin/plain_service.cc
+++ b/standin/plain_service.cc
@@ -22,6 +22,10 @@
       {"silences", 0},
       // Executes, then sends all but the last byte of the answer.
       {"cuts_before_end", 0},
+      // Sends the answer a second time, where the next one is expected.
+      {"late_duplicates", 0},
+      // Answers under another request's id.
+      {"mixups", 0},
       // Refuses before execution, saying so.
       {"refusals", 0},
       // Added to each call, in milliseconds.
@@ -87,13 +91,20 @@
               {"path", exchange->target},
               {"received_bytes", request.body.size()}},
              response);
-  if (!Strikes("cuts_before_end")) return;
+  if (Strikes("mixups")) response->set_header(kRequestIdHeader, "another");
+  const bool cut = Strikes("cuts_before_end");
+  const bool repeated = !cut && Strikes("late_duplicates");
+  if (!cut && !repeated) return;
+  exchange->answered = true;
+  exchange->close = exchange->close || cut;
   httplib::Headers headers = response->headers;
   headers.emplace("Content-Length", absl::StrCat(response->body.size()));
   std::string bytes = absl::StrCat(SerializeHead(200, headers), response->body);
-  bytes.pop_back();
+  if (cut) bytes.pop_back();
   exchange->stream->WriteAll(bytes.data(), bytes.size());
-  DropReply(exchange);
+  if (!repeated) return;
+  exchange->stream->WriteAll(bytes.data(), bytes.size());
+  ++duplicates_;
 }
 
 }  // namespace wisteriareel
--- a/standin/plain_service.h
+++ b/standin/plain_service.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAREEL_STANDIN_PLAIN_SERVICE_H_
 #define WISTERIAREEL_STANDIN_PLAIN_SERVICE_H_
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -21,6 +22,8 @@
 
   // Returns how often calls under `key` were executed.
   std::uint64_t Executions(const std::string& key) const;
+  // Returns how many answers were sent twice.
+  std::uint64_t duplicates() const { return duplicates_.load(); }
   // Returns how many calls were executed.
   std::uint64_t executions() const;
 
@@ -29,6 +32,7 @@
               httplib::Response* response) override;
   std::uint64_t Execute(const std::string& key);
 
+  std::atomic<std::uint64_t> duplicates_{0};
   mutable std::mutex mutex_;
   std::uint64_t executed_ = 0;
   std::map<std::string, std::uint64_t> by_key_;
--- a/test/http_caller_server_test.cc
+++ b/test/http_caller_server_test.cc
@@ -381,6 +381,8 @@
 
 TEST_F(CallerServerTest, CutsAClientThatTricklesItsHead) {
   options_.listener.limits.head_timeout = absl::Milliseconds(50);
+  // So that time is what ends it.
+  options_.listener.limits.max_head_bytes = UINT64_MAX;
   Start();
   RawConnection connection(server_->port());
   // Ends when the server has closed, however the bytes are spread.
@@ -421,12 +423,21 @@
 }
 
 TEST_F(CallerServerTest, IdleConnectionsGiveWayWhenMostAreBusy) {
-  options_.listener.limits.max_connections = 2;
+  options_.listener.limits.max_connections = 4;
   options_.listener.limits.keep_alive = absl::Hours(1);
-  options_.listener.limits.keep_alive_share = 0.4;
+  options_.listener.limits.keep_alive_share = 0.5;
   Start();
-  // Returns only because the server closes the idle connection.
-  EXPECT_THAT(Exchange(Chat(kChatBody)), StartsWith("HTTP/1.1 200"));
+  RawConnection first(server_->port());
+  RawConnection second(server_->port());
+  for (RawConnection* connection : {&first, &second}) {
+    connection->Send(Chat(kChatBody));
+    EXPECT_THAT(connection->ReadUntil("true}"), StartsWith("HTTP/1.1 200"));
+  }
+  RawConnection third(server_->port());
+  EXPECT_EQ(first.ReadAll(), "");
+  EXPECT_TRUE(first.ended());
+  EXPECT_EQ(second.ReadAll(), "");
+  EXPECT_TRUE(second.ended());
 }
 
 TEST_F(CallerServerTest, CutsNoStreamInFlightWhenItStops) {
--- a/test/http_target_client_test.cc
+++ b/test/http_target_client_test.cc
@@ -217,6 +217,29 @@
   EXPECT_EQ(outcome.reason, Reason::kAnswerIncomplete);
 }
 
+TEST_F(HttpTargetClientTest, KeepsALatePlainAnswerOutOfTheNextOne) {
+  constexpr int kCalls = 10;
+  ASSERT_TRUE(service_->SetFaults({{"late_duplicates", kCalls}}));
+  for (std::uint64_t i = 1; i <= kCalls; ++i) {
+    TargetCall call = ServiceCall();
+    call.idempotency_key = IdempotencyKey(absl::StrCat("key-", i));
+    const TargetOutcome outcome = Send(call);
+    EXPECT_TRUE(outcome.complete);
+    const auto answer = nlohmann::json::parse(sink_.text_);
+    EXPECT_EQ(answer["key"], call.idempotency_key.value());
+    sink_ = KeepingSink();
+    while (service_->duplicates() < i) std::this_thread::yield();
+  }
+}
+
+TEST_F(HttpTargetClientTest, TakesNoAnswerUnderAnotherRequestsId) {
+  ASSERT_TRUE(service_->SetFaults({{"mixups", 1}}));
+  const TargetOutcome outcome = Send(ServiceCall());
+  EXPECT_FALSE(outcome.complete);
+  EXPECT_EQ(outcome.verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(sink_.text_, "");
+}
+
 TEST_F(HttpTargetClientTest, SaysNotRunOnProofOnly) {
   ASSERT_TRUE(service_->SetFaults({{"refusals", 1}}));
   const TargetOutcome refused = Send(ServiceCall());
--- a/test/raw_connection.h
+++ b/test/raw_connection.h
@@ -32,6 +32,8 @@
 
   bool connected() const { return connected_; }
   int fd() const { return fd_; }
+  // Returns true if the last read found that the peer had closed.
+  bool ended() const { return ended_; }
 
   // Returns false once the peer has closed.
   bool Send(std::string_view bytes) {
@@ -43,6 +45,7 @@
   std::string ReadSome() {
     std::array<char, 16384> buf;
     const ssize_t n = recv(fd_, buf.data(), buf.size(), 0);
+    ended_ = n == 0;
     return n > 0 ? std::string(buf.data(), static_cast<std::size_t>(n)) : "";
   }
 
@@ -69,6 +72,7 @@
  private:
   const int fd_;
   bool connected_ = false;
+  bool ended_ = false;
 };
 
 }  // namespace wisteriareel
