--- a/test/http_target_client_test.cc
+++ b/test/http_target_client_test.cc
@@ -18,6 +18,9 @@
 namespace wisteriareel {
 namespace {
 
+// Answers that a test has sent twice.
+constexpr std::uint64_t kDuplicates = 10;
+
 // Keeps what arrives; checks that positions have no gap.
 class KeepingSink final : public TargetSink {
  public:
@@ -218,9 +221,8 @@
 }
 
 TEST_F(HttpTargetClientTest, KeepsALatePlainAnswerOutOfTheNextOne) {
-  constexpr int kCalls = 10;
-  ASSERT_TRUE(service_->SetFaults({{"late_duplicates", kCalls}}));
-  for (std::uint64_t i = 1; i <= kCalls; ++i) {
+  ASSERT_TRUE(service_->SetFaults({{"late_duplicates", kDuplicates}}));
+  for (std::uint64_t i = 1; i <= kDuplicates; ++i) {
     TargetCall call = ServiceCall();
     call.idempotency_key = IdempotencyKey(absl::StrCat("key-", i));
     const TargetOutcome outcome = Send(call);
