--- a/src/app/control_plane.h
+++ b/src/app/control_plane.h
@@ -31,6 +31,7 @@
   bool Loaded() const;
 
   PublishedConfig* config() { return &config_; }
+  const PublishedConfig& config() const { return config_; }
   TableConfigStore* store() { return &store_; }
   Membership* membership() { return &membership_; }
 
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -58,6 +58,10 @@
   // Returns the bound ports; see the settings for those that are fixed.
   int caller_port() const { return caller_server_.port(); }
   int operator_port() const { return operator_server_.port(); }
+  int peer_port() const { return settings_.listen.peers.port; }
+
+  // Returns the revision of the configuration in force here.
+  Revision revision() const { return control_.config().Current()->revision(); }
 
   // Returns true while the balancer may send requests here.
   bool Ready() const;
--- a/src/app/request_plane.h
+++ b/src/app/request_plane.h
@@ -6,6 +6,7 @@
 #include "src/app/control_plane.h"
 #include "src/app/shared_parts.h"
 #include "src/http/http_target_client.h"
+#include "src/request/admission_gate.h"
 #include "src/request/claim_registry.h"
 #include "src/request/request_service.h"
 #include "src/routing/fleet_selector.h"
@@ -42,6 +43,7 @@
   const SharedParts& parts_;
   HttpTargetClient targets_;
   ClaimRegistry claims_;
+  AdmissionGate admission_;
   FleetSelector selector_;
   RequestService service_;
   BackgroundLoop claims_loop_;
