Parse events without a temporary string

Cause: the linter takes the conversion for a cast. Change: the test parses the event's bytes in place. Conclusion: none.

--- a/test/fleet_fixture.cc
+++ b/test/fleet_fixture.cc
@@ -258,7 +258,7 @@
   for (const auto line : absl::StrSplit(body, '\n')) {
     if (line == "data: [DONE]") return text;
     if (line.substr(0, 6) != "data: ") continue;
-    const json event = json::parse(std::string(line.substr(6)));
+    const json event = json::parse(line.begin() + 6, line.end());
     const json& delta = event.at("choices").at(0).at("delta");
     if (delta.contains("content")) {
       text += delta.at("content").get<std::string>();
