Never keep a refusal as the outcome of claimed work

When the retry budget was spent after a target had refused a call unexecuted, the refusal was delivered and kept as the answer: a retry was told that the work had run, and it never could run. The at-most-once test now repeats the second fault, so that calls also end without having run, which showed it.

--- a/src/request/request_run.cc
+++ b/src/request/request_run.cc
@@ -191,6 +191,8 @@
   outcome.verdict = ProvenVerdict(outcome, relay_->attempt_answered(), whole_);
   result_.verdict = Combine(result_.verdict, outcome.verdict);
   ReportAttempt(outcome, whole_);
+  // A refusal is no answer of the work, however whole it arrived.
+  whole_ = whole_ && outcome.verdict != Verdict::kNotRun;
   const bool progressed = relay_->delivered() > delivered_before;
   fruitless_resumes_ = progressed ? 0 : fruitless_resumes_;
   const NextAction action =
--- a/test/request_at_most_once_test.cc
+++ b/test/request_at_most_once_test.cc
@@ -111,7 +111,11 @@
 
  private:
   void Arm(const Step& step) {
-    fleet_.targets.Script({step.first, step.second});
+    // The second fault stays, so that calls also end without having run.
+    std::vector<AttemptFault> faults(RetryPolicyOptions().max_attempts,
+                                     step.second);
+    faults[0] = step.first;
+    fleet_.targets.Script(faults);
     MemoryTable& table = fleet_.table.memory();
     switch (step.failure) {
       case Failure::kNone:
