--- a/test/http_caller_server_test.cc
+++ b/test/http_caller_server_test.cc
@@ -26,6 +26,7 @@
 using testing::Not;
 using testing::StartsWith;
 
+constexpr std::size_t kFloodBytes = 64 << 10;
 constexpr char kChatBody[] =
     R"({"model":"m","messages":[{"role":"user","content":"hi"}]})";
 constexpr char kStreamBody[] =
@@ -379,14 +380,17 @@
   EXPECT_THAT(answer, HasSubstr("Retry-After: 2\r\n"));
 }
 
-TEST_F(CallerServerTest, CutsAClientThatTricklesItsHead) {
+TEST_F(CallerServerTest, CutsAClientThatNeverEndsItsHead) {
   options_.listener.limits.head_timeout = absl::Milliseconds(50);
   // So that time is what ends it.
   options_.listener.limits.max_head_bytes = UINT64_MAX;
   Start();
-  RawConnection connection(server_->port());
-  // Ends when the server has closed, however the bytes are spread.
-  while (connection.Send("G")) {
+  // One client leaves the server waiting, the other never does.
+  for (const std::size_t size : {std::size_t{1}, kFloodBytes}) {
+    RawConnection connection(server_->port());
+    const std::string bytes(size, 'G');
+    while (connection.Send(bytes)) {
+    }
   }
   EXPECT_EQ(handler_.calls, 0);
 }
