Compare leased grants with two baselines under faults; bound what deaths strand

Cause: nothing measured false refusals, and each death could strand a holding until nothing was left. Change: an experiment on the real decisions with the same traces for all ways, a benchmark of reserve and settle, and a bound in the horizon policy on what all holders may have out together.

--- a/bench/budget_bench.cmake
+++ b/bench/budget_bench.cmake
@@ -0,0 +1,10 @@
+find_package(benchmark REQUIRED)
+
+add_executable(budget_gate_bench budget_gate_bench.cc)
+target_link_libraries(budget_gate_bench PRIVATE wisteriareel_warnings
+  wisteriareel_budget wisteriareel_fakes benchmark::benchmark)
+
+add_executable(budget_experiment budget_experiment.cc budget_trace.cc
+  budget_grant_model.cc budget_baselines.cc budget_run.cc budget_plot.cc)
+target_link_libraries(budget_experiment PRIVATE wisteriareel_warnings
+  budget_fleet absl::str_format)
--- /dev/null
+++ b/bench/budget_experiment.cc
@@ -0,0 +1,213 @@
+// Compares ways of keeping prepaid budgets under faults.
+// Usage: budget_experiment TABLE.md PLOT.svg
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "bench/budget_models.h"
+#include "bench/budget_plot.h"
+#include "bench/budget_run.h"
+#include "bench/budget_trace.h"
+
+namespace wisteriareel {
+namespace {
+
+const std::vector<std::uint64_t> kSeeds = {20261204, 20261205, 20261206};
+
+enum class ModelKind { kGrants, kPerRequest, kStaticShares };
+
+// One line of a table: a model in a deployment under a scenario.
+struct Line {
+  Deployment deployment;
+  Scenario scenario;
+  std::string model;
+  ModelKind kind = ModelKind::kGrants;
+  const SizingPolicy* policy = nullptr;
+  RunResult sum;
+  std::size_t seeds = 0;
+};
+
+std::unique_ptr<BudgetModel> MakeModel(const Line& line) {
+  switch (line.kind) {
+    case ModelKind::kGrants:
+      return MakeGrantModel(line.deployment, line.policy);
+    case ModelKind::kPerRequest:
+      return MakePerRequestModel(line.deployment);
+    case ModelKind::kStaticShares:
+      return MakeStaticShareModel(line.deployment);
+  }
+  return nullptr;
+}
+
+void Add(const RunResult& run, RunResult* sum) {
+  sum->requests += run.requests;
+  sum->overspent += run.overspent;
+  sum->refused += run.refused;
+  sum->platform_away += run.platform_away;
+  sum->holder_dead += run.holder_dead;
+  sum->grant_too_small += run.grant_too_small;
+  sum->top_up_unseen += run.top_up_unseen;
+  sum->covered_in_zone += run.covered_in_zone;
+  sum->covered_anywhere += run.covered_anywhere;
+  sum->stranded += run.stranded;
+  sum->topped_up += run.topped_up;
+  sum->most_left = std::max(sum->most_left, run.most_left);
+  sum->writes += run.writes;
+}
+
+// Runs all lines, a few at once.
+void RunLines(const std::vector<std::uint64_t>& seeds,
+              std::vector<Line>* lines) {
+  constexpr std::size_t kThreads = 4;
+  std::vector<std::thread> threads;
+  for (std::size_t n = 0; n < kThreads; ++n) {
+    threads.emplace_back([lines, &seeds, n] {
+      for (std::size_t i = n; i < lines->size(); i += kThreads) {
+        Line& line = (*lines)[i];
+        line.seeds = seeds.size();
+        for (const std::uint64_t seed : seeds) {
+          const Trace trace = MakeTrace(line.deployment, seed);
+          const auto model = MakeModel(line);
+          Add(RunModel(line.deployment, line.scenario, trace, model.get()),
+              &line.sum);
+        }
+      }
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+}
+
+std::string TableOf(const std::vector<Line>& lines) {
+  std::string text =
+      "| deployment | scenario | way | overspent | refused | false: platform "
+      "away | holder dead | grant too small | top-up not seen | false in all | "
+      "lendable in zone / anywhere | stranded, % of top-ups | most left, % | "
+      "table writes/s |\n"
+      "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+  for (const Line& line : lines) {
+    const RunResult& sum = line.sum;
+    absl::StrAppendFormat(
+        &text,
+        "| %s | %s | %s | %d | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f "
+        "/ %.1f | %.2f | %.2f | %.2f |\n",
+        line.deployment.name, line.scenario.name, line.model, sum.overspent,
+        sum.Per10000(sum.refused), sum.Per10000(sum.platform_away),
+        sum.Per10000(sum.holder_dead), sum.Per10000(sum.grant_too_small),
+        sum.Per10000(sum.top_up_unseen), sum.Per10000(sum.FalseRefusals()),
+        sum.Per10000(sum.covered_in_zone), sum.Per10000(sum.covered_anywhere),
+        100.0 * static_cast<double>(sum.stranded) /
+            static_cast<double>(sum.topped_up),
+        100 * sum.most_left,
+        static_cast<double>(sum.writes) / kExperimentEnd /
+            static_cast<double>(line.seeds));
+  }
+  return text;
+}
+
+std::string PlotOf(const std::vector<Line>& lines) {
+  std::vector<BarPanel> panels;
+  for (const Line& line : lines) {
+    if (panels.empty() || panels.back().title != line.deployment.name) {
+      panels.push_back(BarPanel{.title = line.deployment.name, .groups = {}});
+    }
+    std::vector<BarGroup>& groups = panels.back().groups;
+    if (groups.empty() || groups.back().label != line.scenario.name) {
+      groups.push_back(BarGroup{.label = line.scenario.name, .values = {}});
+    }
+    groups.back().values.push_back(line.sum.Per10000(line.sum.FalseRefusals()));
+  }
+  return DrawBars(
+      "False refusals per 10,000 requests",
+      {"leased grants", "transaction per request", "equal static shares"},
+      panels);
+}
+
+// Grants of one policy, or all three ways, in every scenario.
+std::vector<Line> LinesFor(const std::string& name, const SizingPolicy* policy,
+                           bool baselines) {
+  std::vector<Line> lines;
+  for (const Deployment& deployment : Deployments()) {
+    for (const Scenario& scenario : Scenarios()) {
+      lines.push_back(
+          {deployment, scenario, name, ModelKind::kGrants, policy, {}, 0});
+      if (!baselines) continue;
+      lines.push_back({deployment,
+                       scenario,
+                       "transaction per request",
+                       ModelKind::kPerRequest,
+                       nullptr,
+                       {}});
+      lines.push_back({deployment,
+                       scenario,
+                       "static shares",
+                       ModelKind::kStaticShares,
+                       nullptr,
+                       {}});
+    }
+  }
+  return lines;
+}
+
+// A policy under comparison.
+struct NamedPolicy {
+  std::string name;
+  std::unique_ptr<SizingPolicy> policy;
+};
+
+std::vector<NamedPolicy> Policies() {
+  std::vector<NamedPolicy> policies;
+  policies.push_back({"fixed 20,000", MakeFixedSizing(Tokens(20'000))});
+  policies.push_back({"demand 60 min", MakeDemandSizing(absl::Minutes(60))});
+  for (const double weight : {0.1, 0.3, 0.5, 0.7, 0.9}) {
+    policies.push_back({absl::StrCat("horizon ", weight),
+                        MakeHorizonSizing({.false_refusal_weight = weight})});
+  }
+  return policies;
+}
+
+std::int64_t Overspent(const std::vector<Line>& lines) {
+  std::int64_t overspent = 0;
+  for (const Line& line : lines) overspent += line.sum.overspent;
+  return overspent;
+}
+
+int Main(const std::string& table_path, const std::string& plot_path) {
+  const auto standard = MakeHorizonSizing({});
+  std::vector<Line> ways = LinesFor("leased grants", standard.get(), true);
+  RunLines(kSeeds, &ways);
+  std::ofstream(plot_path) << PlotOf(ways);
+  std::ofstream table(table_path);
+  table << TableOf(ways) << std::endl;
+
+  const std::vector<NamedPolicy> policies = Policies();
+  std::vector<Line> sizes;
+  for (const NamedPolicy& named : policies) {
+    for (Line& line : LinesFor(named.name, named.policy.get(), false)) {
+      sizes.push_back(std::move(line));
+    }
+  }
+  RunLines({kSeeds.front()}, &sizes);
+  table << TableOf(sizes);
+  return Overspent(ways) + Overspent(sizes) == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace wisteriareel
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: budget_experiment TABLE.md PLOT.svg\n";
+    return EXIT_FAILURE;
+  }
+  return wisteriareel::Main(argv[1], argv[2]);
+}
--- /dev/null
+++ b/bench/budget_gate_bench.cc
@@ -0,0 +1,141 @@
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "benchmark/benchmark.h"
+#include "src/budget/grant_keeper.h"
+#include "src/budget/journal_writer.h"
+#include "src/budget/request_id_maker.h"
+#include "src/budget/table_budget_admin.h"
+#include "standin/fakes/memory_object_store.h"
+#include "standin/fakes/memory_table.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr std::int64_t kTopUp = 1'000'000'000'000;
+constexpr std::int64_t kWorstCase = 2'000;
+constexpr std::int64_t kBilled = 700;
+
+// Counts records and keeps none, so that the figure is the gate's own.
+class CountingJournal final : public RecordJournal {
+ public:
+  void Append(const RequestRecord&) override {}
+};
+
+// A keeper that holds enough of `budgets` budgets for any run.
+class Bench {
+ public:
+  Bench(int budgets, bool journaled) {
+    GrantKeeperOptions options{.instance = InstanceId("i1")};
+    options.account_buckets = 65536;
+    options.holders = 1;
+    if (journaled) {
+      journal_ = std::make_unique<JournalWriter>(
+          JournalWriterOptions{.instance = options.instance,
+                               .max_records = SIZE_MAX},
+          &store_, SystemClock(), random_.get());
+    } else {
+      journal_ = std::make_unique<CountingJournal>();
+    }
+    keeper_ = std::make_unique<GrantKeeper>(
+        options, GrantKeeperParts{.table = &table_,
+                                  .policy = policy_.get(),
+                                  .journal = journal_.get(),
+                                  .clock = SystemClock(),
+                                  .random = random_.get()});
+    TableBudgetAdmin admin({}, &table_, SystemClock());
+    LastReason reason;
+    for (int i = 0; i < budgets; ++i) {
+      ids_.emplace_back(absl::StrCat("budget-", i));
+      admin.TopUp(ids_.back(), OrderId("o"), Tokens(kTopUp), "op",
+                  absl::Seconds(1), &reason);
+      keeper_->Reserve(ids_.back(), RequestId("r"), Tokens(kWorstCase),
+                       absl::InfinitePast(), &reason);
+    }
+    while (keeper_->Step() == absl::ZeroDuration()) {
+    }
+  }
+
+  GrantKeeper& keeper() { return *keeper_; }
+  const BudgetId& id(std::size_t n) const { return ids_[n % ids_.size()]; }
+
+ private:
+  MemoryTable table_;
+  MemoryObjectStore store_;
+  std::unique_ptr<RandomSource> random_ = MakeSeededRandom(1);
+  std::unique_ptr<SizingPolicy> policy_ = MakeFixedSizing(Tokens(kTopUp / 2));
+  std::unique_ptr<RecordJournal> journal_;
+  std::unique_ptr<GrantKeeper> keeper_;
+  std::vector<BudgetId> ids_;
+};
+
+// Returns the bench that all threads of a run share.
+Bench& Shared(int budgets, bool journaled) {
+  static std::mutex mutex;
+  static std::map<int, std::unique_ptr<Bench>> plain;
+  static std::map<int, std::unique_ptr<Bench>> with_journal;
+  std::lock_guard<std::mutex> lock(mutex);
+  auto& bench = journaled ? with_journal[budgets] : plain[budgets];
+  if (!bench) bench = std::make_unique<Bench>(budgets, journaled);
+  return *bench;
+}
+
+// Reserves and settles on budgets in turn, or on one only if `hot`.
+void Run(benchmark::State& state, bool hot, bool journaled) {
+  Bench& bench = Shared(static_cast<int>(state.range(0)), journaled);
+  const RequestId request("i1-18f2a3b4c5d-1f");
+  const RequestRecord record{.request = request,
+                             .billed = Tokens(kBilled),
+                             .started = SystemClock()->Now(),
+                             .finished = SystemClock()->Now()};
+  LastReason reason;
+  auto n = static_cast<std::size_t>(state.thread_index()) * 7919;
+  std::int64_t refused = 0;
+  for (auto _ : state) {
+    const BudgetId& id = bench.id(hot ? 0 : n);
+    n += 13;
+    const auto reservation = bench.keeper().Reserve(
+        id, request, Tokens(kWorstCase), absl::InfinitePast(), &reason);
+    if (!reservation) {
+      ++refused;
+      continue;
+    }
+    bench.keeper().Settle(*reservation, record);
+  }
+  state.counters["refused"] = static_cast<double>(refused);
+  state.SetItemsProcessed(state.iterations());
+}
+
+void BM_ReserveSettle(benchmark::State& state) { Run(state, false, false); }
+void BM_ReserveSettleHot(benchmark::State& state) { Run(state, true, false); }
+void BM_ReserveSettleJournaled(benchmark::State& state) {
+  Run(state, false, true);
+}
+
+BENCHMARK(BM_ReserveSettle)
+    ->Arg(10)
+    ->Arg(1'000)
+    ->Arg(32'000)
+    ->Threads(1)
+    ->Threads(8)
+    ->UseRealTime();
+BENCHMARK(BM_ReserveSettleHot)
+    ->Arg(32'000)
+    ->Threads(1)
+    ->Threads(8)
+    ->UseRealTime();
+BENCHMARK(BM_ReserveSettleJournaled)
+    ->Arg(1'000)
+    ->Threads(1)
+    ->Threads(8)
+    ->Iterations(100'000)
+    ->UseRealTime();
+
+}  // namespace
+}  // namespace wisteriareel
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/budget_run.h
@@ -0,0 +1,47 @@
+#ifndef WISTERIAREEL_BENCH_BUDGET_RUN_H_
+#define WISTERIAREEL_BENCH_BUDGET_RUN_H_
+
+#include <cstdint>
+
+#include "bench/budget_models.h"
+#include "bench/budget_trace.h"
+
+namespace wisteriareel {
+
+// What one run of a model over a trace came to.
+struct RunResult {
+  std::int64_t requests = 0;
+  std::int64_t overspent = 0;
+  std::int64_t refused = 0;
+  // Refusals that what was left would have covered, by cause.
+  std::int64_t platform_away = 0;
+  std::int64_t holder_dead = 0;
+  std::int64_t grant_too_small = 0;
+  std::int64_t top_up_unseen = 0;
+  // Those with the platform away that instances of the same zone, or all live
+  // ones, held enough for.
+  std::int64_t covered_in_zone = 0;
+  std::int64_t covered_anywhere = 0;
+  // Tokens that nobody alive can spend at the end.
+  std::int64_t stranded = 0;
+  std::int64_t topped_up = 0;
+  // Largest part of its budget's top-ups that was left at a false refusal
+  // without a fault, for amounts above one worst case.
+  double most_left = 0;
+  std::uint64_t writes = 0;
+
+  std::int64_t FalseRefusals() const {
+    return platform_away + holder_dead + grant_too_small + top_up_unseen;
+  }
+  double Per10000(std::int64_t n) const {
+    return 10'000.0 * static_cast<double>(n) / static_cast<double>(requests);
+  }
+};
+
+// Drives `model` over `trace` under `scenario`.
+RunResult RunModel(const Deployment& deployment, const Scenario& scenario,
+                   const Trace& trace, BudgetModel* model);
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_BENCH_BUDGET_RUN_H_
--- a/include/wisteriareel/budget_sizing.h
+++ b/include/wisteriareel/budget_sizing.h
@@ -16,6 +16,8 @@
   Tokens largest_request;
   // Granted to nobody, this holder's unreserved tokens included.
   Tokens pool;
+  // Granted to others and not accounted for, the dead among them included.
+  Tokens elsewhere;
   // Number of instances that may draw on the budget.
   int holders = 1;
 
--- a/src/budget/holding.cc
+++ b/src/budget/holding.cc
@@ -251,10 +251,14 @@
                                  int holders, std::int64_t want) {
   const std::int64_t available = Positive(account->available());
   const std::int64_t free = pool.Free().value();
+  const std::int64_t own =
+      account->granted - account->returned - account->reported;
+  const std::int64_t elsewhere = Positive(pool.Outstanding().value() - own);
   const BudgetDemand demand{
       .tokens_per_second = account->rate,
       .largest_request = Tokens(std::max(want, account->largest())),
       .pool = Tokens(free + available),
+      .elsewhere = Tokens(elsewhere),
       .holders = holders};
   const std::int64_t target = policy_->Target(demand).value();
   account->target = target;
@@ -264,9 +268,6 @@
   const std::int64_t unmet = Positive(want - available);
   if (unmet > free) {
     // A part would serve nobody and be missing elsewhere.
-    const std::int64_t own =
-        account->granted - account->returned - account->reported;
-    const std::int64_t elsewhere = pool.Outstanding().value() - own;
     account->refusal = unmet > free + elsewhere ? Reason::kBudgetExhausted
                                                 : Reason::kGrantTooSmall;
     ++account->answers;
--- a/src/budget/sizing.cc
+++ b/src/budget/sizing.cc
@@ -51,12 +51,23 @@
   Tokens Target(const BudgetDemand& demand) const override {
     const double share = weight_ / std::max(1, demand.holders);
     const double ratio = share / (1 - weight_ + share);
-    const double limit = ratio * static_cast<double>(demand.pool.value());
-    return Tokens(std::min(SpendOver(demand, horizon_),
-                           static_cast<std::int64_t>(limit)));
+    const auto pool = static_cast<double>(demand.pool.value());
+    const auto limit = static_cast<std::int64_t>(ratio * pool);
+    return Tokens(
+        std::min({SpendOver(demand, horizon_), limit, LeftToHold(demand)}));
   }
 
  private:
+  // Returns what this holder may have without all of them holding more than
+  // `weight` of what is left. Holders that died keep theirs until they are
+  // reclaimed, so that many deaths can't strand the whole budget.
+  std::int64_t LeftToHold(const BudgetDemand& demand) const {
+    const Tokens left = demand.pool + demand.elsewhere;
+    const double held = weight_ * static_cast<double>(left.value());
+    return std::max(kLeastRequests * demand.largest_request.value(),
+                    static_cast<std::int64_t>(held) - demand.elsewhere.value());
+  }
+
   const double weight_;
   const absl::Duration horizon_;
 };
