--- a/bench/budget_bench.cmake
+++ b/bench/budget_bench.cmake
@@ -8,3 +8,6 @@
   budget_grant_model.cc budget_baselines.cc budget_run.cc budget_plot.cc)
 target_link_libraries(budget_experiment PRIVATE wisteriareel_warnings
   budget_fleet absl::str_format)
+
+add_executable(budget_slopes budget_slopes.cc)
+target_link_libraries(budget_slopes PRIVATE wisteriareel_warnings budget_fleet)
--- a/bench/budget_experiment.cc
+++ b/bench/budget_experiment.cc
@@ -24,6 +24,9 @@
 
 const std::vector<std::uint64_t> kSeeds = {20261204, 20261205, 20261206};
 
+// Runs at once.
+constexpr std::size_t kThreads = 4;
+
 enum class ModelKind { kGrants, kPerRequest, kStaticShares };
 
 // One line of a table: a model in a deployment under a scenario.
@@ -68,7 +71,6 @@
 // Runs all lines, a few at once.
 void RunLines(const std::vector<std::uint64_t>& seeds,
               std::vector<Line>* lines) {
-  constexpr std::size_t kThreads = 4;
   std::vector<std::thread> threads;
   for (std::size_t n = 0; n < kThreads; ++n) {
     threads.emplace_back([lines, &seeds, n] {
--- a/bench/budget_gate_bench.cc
+++ b/bench/budget_gate_bench.cc
@@ -110,25 +110,21 @@
   state.SetItemsProcessed(state.iterations());
 }
 
-void BM_ReserveSettle(benchmark::State& state) { Run(state, false, false); }
-void BM_ReserveSettleHot(benchmark::State& state) { Run(state, true, false); }
-void BM_ReserveSettleJournaled(benchmark::State& state) {
+void ReserveSettle(benchmark::State& state) { Run(state, false, false); }
+void ReserveSettleHot(benchmark::State& state) { Run(state, true, false); }
+void ReserveSettleJournaled(benchmark::State& state) {
   Run(state, false, true);
 }
 
-BENCHMARK(BM_ReserveSettle)
+BENCHMARK(ReserveSettle)
     ->Arg(10)
     ->Arg(1'000)
     ->Arg(32'000)
     ->Threads(1)
     ->Threads(8)
     ->UseRealTime();
-BENCHMARK(BM_ReserveSettleHot)
-    ->Arg(32'000)
-    ->Threads(1)
-    ->Threads(8)
-    ->UseRealTime();
-BENCHMARK(BM_ReserveSettleJournaled)
+BENCHMARK(ReserveSettleHot)->Arg(32'000)->Threads(1)->Threads(8)->UseRealTime();
+BENCHMARK(ReserveSettleJournaled)
     ->Arg(1'000)
     ->Threads(1)
     ->Threads(8)
--- /dev/null
+++ b/bench/budget_slopes.cc
@@ -0,0 +1,167 @@
+// Counts table writes, objects and bytes of budgets over instances, budgets
+// and request rate. Usage: budget_slopes
+#include <cstdint>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "src/budget/account.h"
+#include "test/budget_fleet.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr absl::Duration kTimeout = absl::Seconds(1);
+constexpr int kWarmUp = 1800;   // Seconds not counted.
+constexpr int kCounted = 1800;  // Seconds counted.
+constexpr std::int64_t kWorstCase = 4'000;
+constexpr std::int64_t kBilled = 1'500;
+
+// One setting to be measured.
+struct Setting {
+  int instances = 4;
+  int budgets = 100;
+  // Per instance.
+  int requests_per_second = 4;
+};
+
+// Counts of one setting.
+struct Counts {
+  std::uint64_t transactions = 0;
+  std::uint64_t rows = 0;
+  std::uint64_t objects = 0;
+  std::uint64_t refused = 0;
+};
+
+class SlopeRun {
+ public:
+  explicit SlopeRun(const Setting& setting) : setting_(setting) {
+    GrantKeeperOptions options;
+    options.holders = setting.instances;
+    options.account_buckets = 1024;
+    for (int i = 0; i < setting.instances; ++i) {
+      options.instance = InstanceId(absl::StrCat("i", i));
+      links_.push_back(std::make_unique<PlatformLink>(&table_, &store_));
+      processes_.push_back(std::make_unique<BudgetProcess>(
+          options, links_.back().get(), policy_.get(), &clock_, random_.get()));
+    }
+    TableBudgetAdmin admin({.stripes = 1}, &table_, &clock_);
+    LastReason reason;
+    for (int i = 0; i < setting.budgets; ++i) {
+      admin.TopUp(Id(i), OrderId("o"), Tokens(1'000'000'000), "op", kTimeout,
+                  &reason);
+    }
+  }
+
+  Counts Count() {
+    Simulate(kWarmUp);
+    const Counts before = Read();
+    Simulate(kCounted);
+    const Counts after = Read();
+    return Counts{.transactions = after.transactions - before.transactions,
+                  .rows = after.rows - before.rows,
+                  .objects = after.objects - before.objects,
+                  .refused = refused_};
+  }
+
+  // Returns the bytes of keys and values that one budget takes at one holder.
+  std::size_t GrantRowBytes() {
+    LastReason reason;
+    const auto rows = table_.Scan(kGrantTable, "", 1, kTimeout, &reason);
+    return rows->front().key.key.size() + rows->front().value.size();
+  }
+
+ private:
+  static BudgetId Id(int n) { return BudgetId(absl::StrCat("b", n)); }
+
+  void Simulate(int seconds) {
+    for (int i = 0; i < seconds; ++i) {
+      clock_.Advance(absl::Seconds(1));
+      ++now_;
+      for (const auto& process : processes_) Second(process.get());
+    }
+  }
+
+  void Second(BudgetProcess* process) {
+    for (int i = 0; i < setting_.requests_per_second; ++i) Request(process);
+    if (now_ % 5 == 0) process->journal.Step();
+    if (now_ % 2 != 0) return;
+    while (process->keeper.Step() == absl::ZeroDuration()) {
+    }
+  }
+
+  void Request(BudgetProcess* process) {
+    const BudgetId budget = Id(static_cast<int>(
+        random_->Below(static_cast<std::uint64_t>(setting_.budgets))));
+    const RequestId request = ids_.Next();
+    LastReason reason;
+    for (int tries = 0; tries < 3; ++tries) {
+      const auto reservation = process->keeper.Reserve(
+          budget, request, Tokens(kWorstCase), absl::InfinitePast(), &reason);
+      if (!reservation) {
+        process->keeper.Step();
+        continue;
+      }
+      process->keeper.Settle(*reservation,
+                             RequestRecord{.request = request,
+                                           .billed = Tokens(kBilled),
+                                           .started = clock_.Now(),
+                                           .finished = clock_.Now()});
+      return;
+    }
+    ++refused_;
+  }
+
+  Counts Read() {
+    Counts counts;
+    for (const auto& link : links_) {
+      counts.transactions += link->transactions;
+      counts.rows += link->rows_written;
+      counts.objects += link->objects_written;
+    }
+    return counts;
+  }
+
+  const Setting setting_;
+  ManualClock clock_;
+  MemoryTable table_;
+  MemoryObjectStore store_;
+  std::unique_ptr<RandomSource> random_ = MakeSeededRandom(3);
+  std::unique_ptr<SizingPolicy> policy_ = MakeHorizonSizing({});
+  RequestIdMaker ids_{InstanceId("ids"), &clock_, random_.get()};
+  std::vector<std::unique_ptr<PlatformLink>> links_;
+  std::vector<std::unique_ptr<BudgetProcess>> processes_;
+  std::uint64_t refused_ = 0;
+  int now_ = 0;
+};
+
+void Print(const Setting& setting) {
+  SlopeRun run(setting);
+  const Counts counts = run.Count();
+  const double each = 1.0 / kCounted / setting.instances;
+  std::printf("| %d | %d | %d | %.4f | %.3f | %.4f | %llu | %zu |\n",
+              setting.instances, setting.budgets, setting.requests_per_second,
+              static_cast<double>(counts.transactions) * each,
+              static_cast<double>(counts.rows) * each,
+              static_cast<double>(counts.objects) * each,
+              static_cast<unsigned long long>(counts.refused),
+              run.GrantRowBytes());
+}
+
+void Main() {
+  std::printf(
+      "| instances | budgets | requests/s each | transactions/s each | rows/s "
+      "each | objects/s each | refused | bytes of a grant row |\n"
+      "|---|---|---|---|---|---|---|---|\n");
+  for (const int n : {2, 4, 8, 16}) Print({.instances = n});
+  for (const int n : {10, 400, 1'600}) Print({.budgets = n});
+  for (const int n : {1, 16, 60}) Print({.requests_per_second = n});
+  std::printf("account in memory: %zu bytes\n", sizeof(Account));
+}
+
+}  // namespace
+}  // namespace wisteriareel
+
+int main() { wisteriareel::Main(); }
--- a/bench/budget_trace.cc
+++ b/bench/budget_trace.cc
@@ -14,6 +14,7 @@
 constexpr Second kLargeInitial = 9000;
 constexpr Second kSmallInitial = 1500;
 constexpr Second kTopUpEvery = 1200;
+constexpr Second kFrom = 3600;  // Beginning of faults.
 // Spent on average of a worst case.
 constexpr double kMeanBilled = 0.45;
 
@@ -46,7 +47,6 @@
 
 std::vector<Scenario> Scenarios() {
   using Kind = Scenario::Kind;
-  constexpr Second kFrom = 3600;
   return {{"no fault", Kind::kNone, 0, 0},
           {"platform away 1 min", Kind::kPlatformAway, kFrom, kFrom + 60},
           {"platform away 10 min", Kind::kPlatformAway, kFrom, kFrom + 600},
--- a/test/budget_fleet.cc
+++ b/test/budget_fleet.cc
@@ -37,6 +37,10 @@
     return CommitOutcome::kUnknown;
   }
   const CommitOutcome outcome = table_->Commit(transaction, timeout);
+  if (outcome == CommitOutcome::kCommitted) {
+    ++transactions;
+    rows_written += transaction.writes.size();
+  }
   if (lose_replies > 0) {
     --lose_replies;
     return CommitOutcome::kUnknown;
@@ -67,6 +71,7 @@
                                 absl::Duration timeout) {
   if (cut) return CommitOutcome::kRejected;
   const CommitOutcome outcome = store_->Put(name, bytes, timeout);
+  if (outcome == CommitOutcome::kCommitted) ++objects_written;
   if (lose_puts == 0) return outcome;
   --lose_puts;
   return CommitOutcome::kUnknown;
--- a/test/budget_fleet.h
+++ b/test/budget_fleet.h
@@ -68,6 +68,11 @@
   int delay_commits = 0;
   int lose_puts = 0;
 
+  // What took effect so far.
+  std::uint64_t transactions = 0;
+  std::uint64_t rows_written = 0;
+  std::uint64_t objects_written = 0;
+
   // Lets the commits that were held back take effect now.
   void DeliverDelayed();
 
