--- a/src/budget/sizing.cc
+++ b/src/budget/sizing.cc
@@ -53,8 +53,10 @@
     const double ratio = share / (1 - weight_ + share);
     const auto pool = static_cast<double>(demand.pool.value());
     const auto limit = static_cast<std::int64_t>(ratio * pool);
-    return Tokens(
-        std::min({SpendOver(demand, horizon_), limit, LeftToHold(demand)}));
+    const std::int64_t target =
+        std::min({SpendOver(demand, horizon_), limit, LeftToHold(demand)});
+    // Pieces that are too small for a request are missing elsewhere.
+    return target < demand.largest_request.value() ? Tokens(0) : Tokens(target);
   }
 
  private:
