Report settled tokens by interval, not at each look at a pool

Cause: each poll of a held budget wrote its latest records' sum. Change: a report alone waits for its interval.

--- a/src/budget/holding.cc
+++ b/src/budget/holding.cc
@@ -95,13 +95,13 @@
 }
 
 Holding::Selection Holding::Select(absl::Time now) {
-  const bool reporting = now - reported_ >= options_.report_interval;
+  reporting_ = now - reported_ >= options_.report_interval;
   const bool polling =
       now - polled_ >= options_.poll_interval && !giving_up_ && !reclaimed();
   Selection selection;
   std::vector<Account*> held;
   for (Account* account : accounts_.All()) {
-    if (Due(account, reporting)) {
+    if (Due(account, reporting_)) {
       selection.accounts.push_back(account);
       continue;
     }
@@ -112,9 +112,12 @@
     selection.more = true;
     return selection;
   }
-  if (reporting) {
+  if (reporting_) {
+    const bool goes_on = reported_ == absl::InfinitePast();
     reported_ = now;
-    for (Account* account : accounts_.All()) account->FadeLargest();
+    for (Account* account : accounts_.All()) {
+      if (!goes_on) account->FadeLargest();
+    }
   }
   if (!polling) return selection;
   polled_ = now;
@@ -165,6 +168,7 @@
     }
     if (order.changes.size() >= batch_) {
       step.more = true;
+      if (reporting_) reported_ = absl::InfinitePast();
       break;
     }
     PoolReading& pool = *(*pools)[i];
@@ -281,6 +285,9 @@
     }
     account->withheld += change.give_back;
   }
+  // A report alone is worth a write only when it is due.
+  const bool moves = change.grant > 0 || change.give_back > 0;
+  if (!moves && !reporting_) change.report = 0;
   return change;
 }
 
--- a/src/budget/holding.h
+++ b/src/budget/holding.h
@@ -152,6 +152,7 @@
   std::uint64_t orders_ = 0;
   std::size_t batch_ = 1;
   std::size_t poll_position_ = 0;
+  bool reporting_ = false;
   absl::Time renewed_ = absl::InfinitePast();
   absl::Time reported_ = absl::InfinitePast();
   absl::Time polled_ = absl::InfinitePast();
