--- a/bench/budget_slopes.cc
+++ b/bench/budget_slopes.cc
@@ -25,6 +25,8 @@
   int budgets = 100;
   // Per instance.
   int requests_per_second = 4;
+  // Whether with the settings for a large fleet.
+  bool large = false;
 };
 
 // Counts of one setting.
@@ -41,6 +43,12 @@
     GrantKeeperOptions options;
     options.holders = setting.instances;
     options.account_buckets = 1024;
+    if (setting.large) {
+      options.report_interval = absl::Minutes(10);
+      options.poll_interval = absl::Seconds(10);
+      options.max_budgets_per_order = 512;
+      options.max_budgets_per_poll = 512;
+    }
     for (int i = 0; i < setting.instances; ++i) {
       options.instance = InstanceId(absl::StrCat("i", i));
       links_.push_back(std::make_unique<PlatformLink>(&table_, &store_));
@@ -86,8 +94,8 @@
 
   void Second(BudgetProcess* process) {
     for (int i = 0; i < setting_.requests_per_second; ++i) Request(process);
-    if (now_ % 5 == 0) process->journal.Step();
-    if (now_ % 2 != 0) return;
+    if (now_ % (setting_.large ? 20 : 5) == 0) process->journal.Step();
+    if (now_ % (setting_.large ? 10 : 2) != 0) return;
     while (process->keeper.Step() == absl::ZeroDuration()) {
     }
   }
@@ -158,6 +166,9 @@
   for (const int n : {2, 4, 8, 16}) Print({.instances = n});
   for (const int n : {10, 400, 1'600}) Print({.budgets = n});
   for (const int n : {1, 16, 60}) Print({.requests_per_second = n});
+  for (const int n : {100, 400, 1'600}) {
+    Print({.budgets = n, .requests_per_second = 60, .large = true});
+  }
   std::printf("account in memory: %zu bytes\n", sizeof(Account));
 }
 
--- a/include/wisteriareel/budget_sizing.h
+++ b/include/wisteriareel/budget_sizing.h
@@ -34,7 +34,7 @@
   virtual Tokens Target(const BudgetDemand& demand) const = 0;
 };
 
-inline constexpr double kDefaultFalseRefusalWeight = 0.7;
+inline constexpr double kDefaultFalseRefusalWeight = 0.5;
 
 // Options of MakeHorizonSizing.
 struct HorizonSizingOptions {
