--- a/test/peer_session_test.cc
+++ b/test/peer_session_test.cc
@@ -199,6 +199,11 @@
   }
   // A ping and a pong a second, and no more.
   EXPECT_LE(pair.frames().size(), 3u + 2u * 251u);
+  std::size_t bytes = 0;
+  for (const std::string& it : pair.frames()) bytes += it.size();
+  // 3 KB/s for control over the 19 connections of a zone of 20 are 157 bytes a
+  // second, of which headers of websocket, TCP and IP take 46.
+  EXPECT_LE(bytes, 2u * 250u * 111u);
 }
 
 TEST(PeerSessionTest, BothEndsFindSilenceInTime) {
