--- a/test/peer_frame_test.cc
+++ b/test/peer_frame_test.cc
@@ -103,6 +103,17 @@
       Decode(EncodePeerFrame(Message(std::string(kMaxPeerPayloadBytes, 'x')))));
 }
 
+TEST(PeerFrameTest, RefusesAFieldThatStandsTwice) {
+  std::string bytes = EncodePeerFrame({.kind = PeerFrameKind::kPing,
+                                       .sequence = 1,
+                                       .mac = std::string(kPeerMacBytes, 'm')});
+  ASSERT_TRUE(Decode(bytes));
+  // One field more, and the kind again.
+  ASSERT_EQ(bytes[0], '\xa3');
+  bytes[0] = '\xa4';
+  EXPECT_FALSE(Decode(bytes + "\x61k\x05"));
+}
+
 // Whatever the bytes: no crash, and what is taken for a frame is one.
 TEST(PeerFrameTest, MutatedFramesAreRefusedOrReadAsTheyAreWritten) {
   std::mt19937 random(kFuzzSeed);
