--- a/test/ops_tests.cmake
+++ b/test/ops_tests.cmake
@@ -9,3 +9,5 @@
 wisteriareel_test(peer_book_test LIBRARIES wisteriareel_peer rapidcheck)
 wisteriareel_test(peer_transport_test THREADED LIBRARIES
   wisteriareel_peer wisteriareel_observability)
+wisteriareel_test(security_tls_test LIBRARIES
+  wisteriareel_rpc wisteriareel_peer)
