Wire peers, duties and orders to targets into the daemon

Cause: instances did not talk to each other, so the roll-out showed one line and no grant of a dead holder was ever reclaimed; nobody brought pools to their plans. Change: the daemon owns a WebsocketPeerTransport and a DutyPlane that holds the reclaiming duty and one duty per planned pool under table leases; HttpTargetOrderClient gives orders to engines; TLS settings reach listeners, targets, platform and peers.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -142,9 +142,8 @@
   done
   ctl target add records-1 records muscat muscat-a 127.0.0.1 7301
   ctl rule put lookups records GET /records/ --idempotent
-  key=$(ctl --json key create ofsa ofsa-2026 |
+  key=$(ctl --wait --json key create ofsa ofsa-2026 |
     sed -n 's/.*"secret": *"\([^"]*\)".*/\1/p')
-  sleep 2
 }
 
 # faults PORT JSON: switches faults of the stand-in on PORT.
--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -17,31 +17,22 @@
 constexpr absl::Duration kBudgetPatience = absl::Seconds(10);
 constexpr absl::Duration kListenerPatience = absl::Seconds(5);
 
-PlatformClientOptions ClientOf(const Endpoint& endpoint) {
-  return {.endpoint = endpoint};
-}
-
 }  // namespace
 
-// Stands in for the connections to other instances.
-class Daemon::Peers final : public PeerTransport {
- public:
-  void Send(const InstanceId&, const Endpoint&, const PeerMessage&) override {}
-};
-
 Daemon::Daemon(Settings settings, EventLog* events)
     : settings_(std::move(settings)),
       events_(events),
       random_(MakeSystemRandom()),
       request_ids_(settings_.instance.id, SystemClock(), random_.get()),
-      table_(ClientOf(settings_.platform.table), &counters_),
-      objects_(ClientOf(settings_.platform.object_store)),
-      instances_(ClientOf(settings_.platform.instance_list)),
-      peers_(std::make_unique<Peers>()),
+      table_(PlatformOptions(settings_.platform.table), &counters_),
+      objects_(PlatformOptions(settings_.platform.object_store)),
+      instances_(PlatformOptions(settings_.platform.instance_list)),
+      peers_(PeerOptions()),
       parts_(MakeParts()),
       control_(settings_, parts_, &dispatcher_),
       budgets_(settings_, parts_, control_.membership()),
       requests_(settings_, parts_, &control_, &budgets_),
+      duties_(settings_, parts_, &control_, &budgets_),
       caller_server_(CallerOptions(), CallerParts()),
       operator_server_(OperatorOptions()) {
   AddGauges();
@@ -54,9 +45,28 @@
 }
 
 void Daemon::StopLoops() {
+  duties_.Stop();
   requests_.Stop();
   budgets_.Stop();
   control_.Stop();
+  peers_.Stop();
+}
+
+PlatformClientOptions Daemon::PlatformOptions(const Endpoint& endpoint) const {
+  return {.endpoint = endpoint, .connections = {.tls = settings_.tls.platform}};
+}
+
+WebsocketPeerTransportOptions Daemon::PeerOptions() {
+  return {.self = settings_.instance.id,
+          .listen = settings_.listen.peers,
+          .secret = settings_.peers.secret,
+          .heartbeat = settings_.peers.heartbeat,
+          .silence = settings_.peers.silence,
+          .max_connections = settings_.peers.max_connections,
+          .tls = settings_.tls.peers,
+          .random = random_.get(),
+          .counters = &counters_,
+          .events = events_};
 }
 
 SharedParts Daemon::MakeParts() {
@@ -67,12 +77,13 @@
           .table = &table_,
           .objects = &objects_,
           .instances = &instances_,
-          .peers = peers_.get()};
+          .peers = &peers_};
 }
 
 CallerServerOptions Daemon::CallerOptions() const {
   CallerServerOptions options;
   options.listener.endpoint = settings_.listen.callers;
+  options.listener.tls = settings_.tls.callers;
   options.listener.limits.max_connections = settings_.limits.max_connections;
   options.listener.limits.max_body_bytes = settings_.limits.max_body_bytes;
   options.listener.limits.head_timeout = settings_.timeouts.caller_read;
@@ -136,9 +147,11 @@
 bool Daemon::Start(LastReason* reason) {
   if (!caller_server_.Start(reason)) return false;
   if (!operator_server_.Start(reason)) return false;
+  if (!peers_.Start(&dispatcher_, reason)) return false;
   control_.Start();
   budgets_.Start();
   requests_.Start();
+  duties_.Start();
   events_->Write(EventId::kDaemonStarted, Severity::kInfo, "daemon started",
                  {{"instance", settings_.instance.id.value()},
                   {"zone", settings_.instance.zone.value()},
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -8,11 +8,13 @@
 #include "absl/synchronization/notification.h"
 #include "src/app/budget_plane.h"
 #include "src/app/control_plane.h"
+#include "src/app/duty_plane.h"
 #include "src/app/request_plane.h"
 #include "src/app/shared_parts.h"
 #include "src/budget/request_id_maker.h"
 #include "src/http/caller_server.h"
 #include "src/observability/histogram_counters.h"
+#include "src/peer/websocket_peer_transport.h"
 #include "src/platform/http_instance_list.h"
 #include "src/platform/http_object_store.h"
 #include "src/platform/http_table_service.h"
@@ -77,9 +79,9 @@
   ShutdownReport Shutdown();
 
  private:
-  class Peers;
-
   SharedParts MakeParts();
+  PlatformClientOptions PlatformOptions(const Endpoint& endpoint) const;
+  WebsocketPeerTransportOptions PeerOptions();
   CallerServerOptions CallerOptions() const;
   CallerServerParts CallerParts();
   OperatorServerOptions OperatorOptions();
@@ -95,11 +97,12 @@
   HttpObjectStore objects_;
   HttpInstanceList instances_;
   PeerDispatcher dispatcher_;
-  const std::unique_ptr<Peers> peers_;
+  WebsocketPeerTransport peers_;
   const SharedParts parts_;
   ControlPlane control_;
   BudgetPlane budgets_;
   RequestPlane requests_;
+  DutyPlane duties_;
   CallerServer caller_server_;
   OperatorServer operator_server_;
 
--- /dev/null
+++ b/src/app/duty_plane.h
@@ -0,0 +1,72 @@
+#ifndef WISTERIAREEL_SRC_APP_DUTY_PLANE_H_
+#define WISTERIAREEL_SRC_APP_DUTY_PLANE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/time/time.h"
+#include "src/app/budget_plane.h"
+#include "src/app/control_plane.h"
+#include "src/app/shared_parts.h"
+#include "src/http/http_target_order_client.h"
+#include "src/settings/settings.h"
+#include "wisteriareel/background_loop.h"
+#include "wisteriareel/lease_keeper.h"
+#include "wisteriareel/pool_reconciler.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+// The duties that one instance at a time does for the whole deployment, each
+// under a lease of its own: reclaiming grants, and bringing each pool with a
+// plan to its wanted state. Owns its loops. Thread-safe but for Start and
+// Stop.
+class DutyPlane {
+ public:
+  // The arguments must outlive the object.
+  DutyPlane(const Settings& settings, const SharedParts& parts,
+            ControlPlane* control, BudgetPlane* budgets);
+  ~DutyPlane();
+
+  void Start();
+
+  // Stops the loops and frees the leases that this instance holds.
+  // Idempotent.
+  void Stop();
+
+  // Returns how many duties this instance holds.
+  int held() const;
+
+ private:
+  // One pool's duty.
+  struct PoolDuty {
+    std::unique_ptr<LeaseKeeper> lease;
+    std::unique_ptr<PoolReconciler> reconciler;
+    absl::Time next_lease_step = absl::InfinitePast();
+    absl::Time next_order_step = absl::InfinitePast();
+  };
+
+  LeaseKeeper::Options LeaseOptions(const std::string& duty);
+  absl::Duration ReclaimStep();
+  absl::Duration PoolStep();
+  void FollowPlans();
+  void StepDuty(PoolDuty* duty, absl::Time now);
+
+  const InstanceId self_;
+  const SharedParts& parts_;
+  ControlPlane* const control_;
+  BudgetPlane* const budgets_;
+  HttpTargetOrderClient order_client_;
+  LeaseKeeper reclaim_lease_;
+  // Touched by the pool loop only.
+  std::map<PoolId, PoolDuty> pools_;
+  BackgroundLoop lease_loop_;
+  BackgroundLoop reclaim_loop_;
+  BackgroundLoop pool_loop_;
+  bool stopped_ = false;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_APP_DUTY_PLANE_H_
--- a/src/app/request_plane.cc
+++ b/src/app/request_plane.cc
@@ -15,7 +15,7 @@
 RequestPlane::RequestPlane(const Settings& settings, const SharedParts& parts,
                            ControlPlane* control, BudgetPlane* budgets)
     : parts_(parts),
-      targets_({}),
+      targets_({.connections = {.tls = settings.tls.targets}}),
       claims_({.instance = settings.instance.id,
                .table = parts.table,
                .objects = parts.objects,
--- /dev/null
+++ b/src/http/http_target_order_client.h
@@ -0,0 +1,47 @@
+#ifndef WISTERIAREEL_SRC_HTTP_HTTP_TARGET_ORDER_CLIENT_H_
+#define WISTERIAREEL_SRC_HTTP_HTTP_TARGET_ORDER_CLIENT_H_
+
+#include <optional>
+#include <string>
+
+#include "absl/time/time.h"
+#include "src/http/client_connections.h"
+#include "wisteriareel/random_source.h"
+#include "wisteriareel/target_order_client.h"
+
+namespace wisteriareel {
+
+struct HttpTargetOrderClientOptions {
+  ClientConnections::Options connections;
+  absl::Duration connect_timeout = absl::Seconds(1);
+};
+
+// Gives orders to targets over HTTP: GET /v1/state and POST /v1/orders, both
+// in JSON. Thread-safe.
+class HttpTargetOrderClient final : public TargetOrderClient {
+ public:
+  // `random` must outlive the client.
+  HttpTargetOrderClient(HttpTargetOrderClientOptions options,
+                        RandomSource* random);
+
+  std::optional<TargetEngineState> ReadState(const Target& target,
+                                             absl::Duration timeout,
+                                             LastReason* reason) override;
+  bool Send(const Target& target, const TargetOrder& order,
+            absl::Duration timeout, LastReason* reason) override;
+
+ private:
+  // Returns the status of the answer, or nullopt with kTargetUnreachable.
+  std::optional<int> Exchange(const Target& target, const std::string& method,
+                              const std::string& path, const std::string& body,
+                              absl::Duration timeout, std::string* answer,
+                              LastReason* reason);
+
+  const HttpTargetOrderClientOptions options_;
+  RandomSource* const random_;
+  ClientConnections connections_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_HTTP_HTTP_TARGET_ORDER_CLIENT_H_
