Wake the signal waiter by a signal to the process

Cause: the linter refuses pthread_kill with SIGTERM. Change: the waiter is woken by a signal to the process, which only sigwait takes.

--- a/daemons/wisteriareeld.cc
+++ b/daemons/wisteriareeld.cc
@@ -1,5 +1,6 @@
 #include <docopt/docopt.h>
 #include <pthread.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
@@ -81,7 +82,7 @@
   daemon.AwaitDrainRequest();
   const ShutdownReport report = daemon.Shutdown();
   // Ends the waiter if an operator's order came before any signal.
-  pthread_kill(waiter.native_handle(), SIGTERM);
+  kill(getpid(), SIGTERM);
   waiter.join();
   return report.clean() ? kExitClean : kExitLeftBehind;
 }
