Make every setting do what its page says

Cause: six settings (server_threads, max_in_flight, max_queued, max_grant_percent, min_grant_tokens, queue_ms) were read and used by nothing; lease and horizon had other defaults than those the budget experiment measured; certificates between instances without their authority were taken and then failed; two kinds of peer message were never sent. Change: those settings and kinds are removed; false_refusal_weight_percent, target_first_byte_ms and balancer_notice_ms are new; defaults are the measured ones (50%, 2 h, 3 h); a lease shorter than the horizon and peers' TLS without an authority are refused. Conclusion: the setting that weighs false refusals against stranded tokens reaches the sizing policy.

--- a/include/wisteriareel/peer_transport.h
+++ b/include/wisteriareel/peer_transport.h
@@ -18,8 +18,6 @@
   kConfigDeltas = 4,
   kZoneDigest = 5,
   kTargetState = 6,
-  kLendRequest = 7,
-  kLendReply = 8,
 };
 
 // A message between instances. `payload` is the CBOR body of its kind.
--- a/src/app/budget_plane.cc
+++ b/src/app/budget_plane.cc
@@ -8,6 +8,8 @@
 // Pause between two tries to hand back what is held at shutdown.
 constexpr absl::Duration kDrainPause = absl::Milliseconds(50);
 
+constexpr double kPercent = 100;
+
 int LiveMembers(const MembershipView& membership) {
   int live = 0;
   for (const Member& member : membership.AllMembers()) {
@@ -24,7 +26,9 @@
     : parts_(parts),
       membership_(membership),
       policy_(MakeHorizonSizing(
-          {.longest_outage = settings.budgets.grant_horizon})),
+          {.false_refusal_weight =
+               settings.budgets.false_refusal_weight_percent / kPercent,
+           .longest_outage = settings.budgets.grant_horizon})),
       journal_({.instance = settings.instance.id,
                 .flush_interval = settings.budgets.record_flush},
                parts.objects, parts.clock, parts.random, parts.counters,
--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -9,9 +9,6 @@
 namespace wisteriareel {
 namespace {
 
-// The balancer stops sending requests within this time of the instance no
-// longer being ready.
-constexpr absl::Duration kBalancerNotice = absl::Seconds(3);
 // Bounds on each step of a shutdown after the last request.
 constexpr absl::Duration kClaimsPatience = absl::Seconds(10);
 constexpr absl::Duration kBudgetPatience = absl::Seconds(10);
@@ -84,6 +81,7 @@
   CallerServerOptions options;
   options.listener.endpoint = settings_.listen.callers;
   options.listener.tls = settings_.tls.callers;
+  options.listener.events = events_;
   options.listener.limits.max_connections = settings_.limits.max_connections;
   options.listener.limits.max_body_bytes = settings_.limits.max_body_bytes;
   options.listener.limits.head_timeout = settings_.timeouts.caller_read;
@@ -179,7 +177,7 @@
   RequestDrain();
   Clock* clock = parts_.clock;
   // Requests that the balancer still sends are served as before.
-  clock->Sleep(kBalancerNotice);
+  clock->Sleep(settings_.timeouts.balancer_notice);
   caller_server_.BeginDrain();
   const absl::Time deadline = clock->Now() + settings_.timeouts.drain;
   const RequestDrainReport drained = requests_.Drain(deadline);
--- a/src/app/request_plane.cc
+++ b/src/app/request_plane.cc
@@ -7,7 +7,9 @@
 constexpr absl::Duration kDrainPause = absl::Milliseconds(50);
 
 RequestTimeouts TimeoutsOf(const TimeoutSettings& settings) {
-  return {.chat = settings.request, .connect = settings.target_connect};
+  return {.chat = settings.request,
+          .connect = settings.target_connect,
+          .stream_first_byte = settings.target_first_byte};
 }
 
 }  // namespace
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -80,16 +80,12 @@
   reader->Optional("max_connections", Count{1, 65536}, &out->max_connections);
   reader->Optional("max_body_bytes", Count{1024, 256 << 20},
                    &out->max_body_bytes);
-  reader->Optional("server_threads", Count{1, 65536}, &out->server_threads);
-  reader->Optional("max_in_flight", Count{1, 65536}, &out->max_in_flight);
-  reader->Optional("max_queued", Count{0, 65536}, &out->max_queued);
 }
 
 void ReadBudgets(ObjectReader* reader, BudgetSettings* out) {
+  reader->Optional("false_refusal_weight_percent", Count{1, 99},
+                   &out->false_refusal_weight_percent);
   reader->Optional("grant_horizon_ms", kLong, &out->grant_horizon);
-  reader->Optional("max_grant_percent", Count{1, 100}, &out->max_grant_percent);
-  reader->Optional("min_grant_tokens", Count{1, 1 << 30},
-                   &out->min_grant_tokens);
   reader->Optional("grant_lease_ms",
                    Milliseconds{absl::Seconds(1), absl::Hours(24 * 30)},
                    &out->grant_lease);
@@ -98,12 +94,12 @@
 
 void ReadTimeouts(ObjectReader* reader, TimeoutSettings* out) {
   reader->Optional("request_ms", kLong, &out->request);
-  reader->Optional("queue_ms", kLong, &out->queue);
   reader->Optional("target_connect_ms", kShort, &out->target_connect);
-  reader->Optional("target_progress_ms", kLong, &out->target_progress);
+  reader->Optional("target_first_byte_ms", kLong, &out->target_first_byte);
   reader->Optional("caller_read_ms", kLong, &out->caller_read);
   reader->Optional("caller_write_ms", kLong, &out->caller_write);
   reader->Optional("operator_call_ms", kShort, &out->operator_call);
+  reader->Optional("balancer_notice_ms", kShort, &out->balancer_notice);
   reader->Optional("drain_ms", kLong, &out->drain);
 }
 
@@ -138,9 +134,10 @@
         "$.peers.silence_ms", "at least twice heartbeat_ms",
         absl::StrCat(absl::ToInt64Milliseconds(settings.peers.silence)));
   }
-  if (settings.limits.max_in_flight > settings.limits.server_threads) {
-    reader->Report("$.limits.max_in_flight", "at most server_threads",
-                   absl::StrCat(settings.limits.max_in_flight));
+  if (settings.budgets.grant_lease < settings.budgets.grant_horizon) {
+    reader->Report(
+        "$.budgets.grant_lease_ms", "at least grant_horizon_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(settings.budgets.grant_lease)));
   }
 }
 
@@ -172,6 +169,14 @@
   }
 }
 
+// Instances show each other certificates, so that each needs all three files.
+void CheckPeerTls(ObjectReader* reader, const TlsFiles& files) {
+  if (!files.certificate_file.empty() && files.ca_file.empty()) {
+    reader->Report("$.tls.peers", "a ca_file beside certificate_file",
+                   "nothing");
+  }
+}
+
 void ReadSettings(ObjectReader* reader, Settings* out) {
   reader->RequiredObject("instance", &out->instance, ReadInstance);
   reader->RequiredObject("listen", &out->listen, ReadListen);
@@ -188,6 +193,7 @@
   CheckTls(reader, "callers", out->tls.callers, /*listener=*/true);
   CheckTls(reader, "operators", out->tls.operators, /*listener=*/true);
   CheckTls(reader, "peers", out->tls.peers, /*listener=*/true);
+  CheckPeerTls(reader, out->tls.peers);
   CheckTls(reader, "targets", out->tls.targets, /*listener=*/false);
   CheckTls(reader, "platform", out->tls.platform, /*listener=*/false);
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -76,25 +76,20 @@
 struct LimitSettings {
   std::uint32_t max_connections = 2048;
   std::uint32_t max_body_bytes = 4 << 20;
-  std::uint32_t server_threads = 1200;
-  // Requests at targets at once, over all customers.
-  std::uint32_t max_in_flight = 1024;
-  // Requests that wait for their turn at once.
-  std::uint32_t max_queued = 2048;
 
   friend bool operator==(const LimitSettings&, const LimitSettings&) = default;
 };
 
 // How much of a budget this instance takes in advance, and for how long.
 struct BudgetSettings {
-  // Spending that a grant should cover while the platform is away.
-  absl::Duration grant_horizon = absl::Minutes(10);
-  // Largest part of a budget's ungranted tokens that one grant takes.
-  std::uint32_t max_grant_percent = 25;
-  // Least tokens of one grant, if the budget still has them.
-  std::uint32_t min_grant_tokens = 4096;
-  // An unreachable holder's grant can be reclaimed after this time.
-  absl::Duration grant_lease = absl::Hours(1);
+  // Weighs false refusals against tokens that lie idle at instances: the
+  // percentage of a budget's remainder that all instances together may hold.
+  std::uint32_t false_refusal_weight_percent = 50;
+  // Outage of the platform that a weight of 100 lets an instance ride out.
+  absl::Duration grant_horizon = absl::Hours(2);
+  // An unreachable instance's grant can be reclaimed after this time. Longer
+  // than the outage to be ridden out.
+  absl::Duration grant_lease = absl::Hours(3);
   // Records are written to the object store this often.
   absl::Duration record_flush = absl::Seconds(5);
 
@@ -105,17 +100,17 @@
 struct TimeoutSettings {
   // Longest time of a request whose caller names none.
   absl::Duration request = absl::Minutes(10);
-  // Longest wait in the queue.
-  absl::Duration queue = absl::Seconds(30);
   absl::Duration target_connect = absl::Seconds(1);
-  // Longest silence of a target before the attempt is given up.
-  absl::Duration target_progress = absl::Seconds(20);
+  // Longest wait for the first byte of a target's answer.
+  absl::Duration target_first_byte = absl::Seconds(15);
   // Longest silence of a caller while it sends its request.
   absl::Duration caller_read = absl::Seconds(10);
   // Longest wait for a caller to take what was written.
   absl::Duration caller_write = absl::Seconds(30);
   // Longest time of an operator's call at the platform.
   absl::Duration operator_call = absl::Seconds(5);
+  // Time in which the balancer notices that an instance is no longer ready.
+  absl::Duration balancer_notice = absl::Seconds(3);
   // Longest wait of a graceful shutdown for requests in flight.
   absl::Duration drain = absl::Minutes(15);
 
--- a/test/fleet_fixture.cc
+++ b/test/fleet_fixture.cc
@@ -104,6 +104,7 @@
                          .role = OperatorRole::kOperate,
                          .token_sha256 = Sha256Hex(kOperatorToken)}};
   settings.budgets.record_flush = absl::Milliseconds(100);
+  settings.timeouts.balancer_notice = absl::Milliseconds(500);
   return settings;
 }
 
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -109,6 +109,22 @@
       UnorderedElementsAre("$.listen.operators: an address of its own"));
 }
 
+TEST(SettingsTest, RefusesALeaseShorterThanTheOutageToRideOut) {
+  EXPECT_THAT(ProblemsOf(Changed("\"peers\": {\"secret\"",
+                                 R"("budgets": {"grant_lease_ms": 60000},
+                  "peers": {"secret")")),
+              UnorderedElementsAre(
+                  "$.budgets.grant_lease_ms: at least grant_horizon_ms"));
+}
+
+TEST(SettingsTest, RefusesPeerCertificatesWithoutTheirAuthority) {
+  EXPECT_THAT(
+      ProblemsOf(Changed("\"peers\": {\"secret\"", R"("tls": {"peers":
+        {"certificate_file": "/a.pem", "key_file": "/a.key"}},
+        "peers": {"secret")")),
+      UnorderedElementsAre("$.tls.peers: a ca_file beside certificate_file"));
+}
+
 TEST(SettingsTest, RefusesANameThatStandsTwiceInOneObject) {
   EXPECT_THAT(ProblemsOf(Changed("\"timeout_ms\": 1500",
                                  "\"timeout_ms\": 1500, \"timeout_ms\": 2000")),
