--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -136,6 +136,10 @@
                       .read = [this] {
                         return control_.config()->Current()->revision().value();
                       }});
+  counters_.AddGauge(
+      {.name = "reclaim_duty_held",
+       .help = "1 while this instance reclaims grants of dead ones.",
+       .read = [this] { return duties_.reclaims() ? 1.0 : 0.0; }});
   counters_.AddGauge(
       {.name = "records_waiting",
        .help = "Records not yet in the object store.",
--- a/src/app/duty_plane.cc
+++ b/src/app/duty_plane.cc
@@ -56,8 +56,6 @@
   for (auto& [pool, duty] : pools_) duty.lease->Release();
 }
 
-int DutyPlane::held() const { return reclaim_lease_.Held() ? 1 : 0; }
-
 absl::Duration DutyPlane::ReclaimStep() {
   if (!reclaim_lease_.Held()) return kIdlePause;
   return budgets_->reclaimer()->ReclaimStep(parts_.clock->Now());
--- a/src/app/duty_plane.h
+++ b/src/app/duty_plane.h
@@ -35,8 +35,8 @@
   // Idempotent.
   void Stop();
 
-  // Returns how many duties this instance holds.
-  int held() const;
+  // Returns whether this instance reclaims the grants of dead ones.
+  bool reclaims() const { return reclaim_lease_.Held().has_value(); }
 
  private:
   // One pool's duty.
