Remove what stood twice and an event that nothing wrote

Cause: a last reading found the same command-line parsing in three programs, two headers called rendezvous.h with functions of one name and different meaning, and event 1401, which was listed and never written. The sanitizer run was not repeated. Conclusion: no behaviour changed.

--- a/bench/request_load_model.cc
+++ b/bench/request_load_model.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "src/routing/rendezvous.h"
+#include "src/routing/pair_rank.h"
 
 namespace wisteriareel {
 namespace {
@@ -134,7 +134,7 @@
     const auto it =
         std::lower_bound(popularity_.begin(), popularity_.end(), at);
     Job job{.workload = workload,
-            .prefix = RendezvousRank(
+            .prefix = PairRank(
                 1, static_cast<std::uint64_t>(it - popularity_.begin())),
             .arrived = clock_.Now(),
             .instance = static_cast<int>(random_->Below(queues_.size()))};
--- a/daemons/wisteriareel_load.cc
+++ b/daemons/wisteriareel_load.cc
@@ -1,7 +1,6 @@
 #include <docopt/docopt.h>
 
 #include <cstdio>
-#include <exception>
 #include <fstream>
 #include <map>
 #include <string>
@@ -10,6 +9,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "daemons/command_line.h"
 #include "standin/load_run.h"
 
 namespace wisteriareel {
@@ -52,11 +52,10 @@
 )";
 
 constexpr int kExitFailure = 1;
-constexpr int kExitUsage = 2;
 // Keeps a run within the memory and threads of one machine.
 constexpr int kMaxConcurrency = 4096;
 
-using Arguments = std::map<std::string, docopt::value>;
+using Arguments = CommandArguments;
 
 // Reads arguments and notes the first that is wrong.
 class ArgumentReader {
@@ -128,20 +127,12 @@
 }
 
 int Run(int argc, char** argv) {
-  Arguments arguments;
-  try {
-    arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc});
-  } catch (const docopt::DocoptExitHelp&) {
-    std::fputs(kUsage, stdout);
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::puts("wisteriareel-load " WISTERIAREEL_VERSION);
-    return 0;
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "%s\nsee --help\n", error.what());
-    return kExitUsage;
-  }
-  ArgumentReader reader(arguments);
+  int exit_code = 0;
+  const auto arguments =
+      ParseCommandLine(kUsage, "wisteriareel-load " WISTERIAREEL_VERSION, argc,
+                       argv, &exit_code);
+  if (!arguments) return exit_code;
+  ArgumentReader reader(*arguments);
   const LoadOptions options = ReadOptions(&reader);
   if (!reader.error().empty()) {
     std::fprintf(stderr, "%s\n", reader.error().c_str());
--- a/daemons/wisteriareel_standin.cc
+++ b/daemons/wisteriareel_standin.cc
@@ -3,7 +3,6 @@
 
 #include <csignal>
 #include <cstdio>
-#include <exception>
 #include <fstream>
 #include <iterator>
 #include <map>
@@ -15,6 +14,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "daemons/command_line.h"
 #include "src/platform/platform_codec.h"
 #include "standin/model_engine.h"
 #include "standin/plain_service.h"
@@ -59,9 +59,8 @@
 )";
 
 constexpr int kExitFailure = 1;
-constexpr int kExitUsage = 2;
 
-using Arguments = std::map<std::string, docopt::value>;
+using Arguments = CommandArguments;
 
 bool ParsePorts(const docopt::value& argument, std::vector<int>* ports) {
   if (!argument.isString()) return true;
@@ -190,22 +189,13 @@
   sigaddset(&ending, SIGTERM);
   sigaddset(&ending, SIGINT);
   pthread_sigmask(SIG_BLOCK, &ending, nullptr);
-  Arguments arguments;
-  try {
-    arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc});
-  } catch (const docopt::DocoptExitHelp&) {
-    std::fputs(kUsage, stdout);
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::puts("wisteriareel-standin " WISTERIAREEL_VERSION);
-    return 0;
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "%s\nsee --help\n", error.what());
-    return kExitUsage;
-  }
-  Standins standins;
   int exit_code = 0;
-  if (!standins.Start(arguments, &exit_code)) return exit_code;
+  const auto arguments =
+      ParseCommandLine(kUsage, "wisteriareel-standin " WISTERIAREEL_VERSION,
+                       argc, argv, &exit_code);
+  if (!arguments) return exit_code;
+  Standins standins;
+  if (!standins.Start(*arguments, &exit_code)) return exit_code;
   int signal = 0;
   sigwait(&ending, &signal);
   return 0;
--- a/daemons/wisteriareeld.cc
+++ b/daemons/wisteriareeld.cc
@@ -4,13 +4,13 @@
 
 #include <csignal>
 #include <cstdio>
-#include <exception>
 #include <map>
 #include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "daemons/command_line.h"
 #include "src/app/daemon.h"
 #include "src/observability/log4cxx_event_log.h"
 #include "src/settings/settings.h"
@@ -41,11 +41,10 @@
 
 constexpr int kExitClean = 0;
 constexpr int kExitCannotListen = 1;
-constexpr int kExitUsage = 2;
 constexpr int kExitSettings = 3;
 constexpr int kExitLeftBehind = 4;
 
-using Arguments = std::map<std::string, docopt::value>;
+using Arguments = CommandArguments;
 
 // Blocks the ending signals in all threads that start later, so that only
 // sigwait sees them.
@@ -89,22 +88,13 @@
 
 int Run(int argc, char** argv) {
   const sigset_t ending = BlockEndingSignals();
-  Arguments arguments;
-  try {
-    arguments = docopt::docopt_parse(kUsage, {argv + 1, argv + argc});
-  } catch (const docopt::DocoptExitHelp&) {
-    std::fputs(kUsage, stdout);
-    return kExitClean;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::puts("wisteriareeld " WISTERIAREEL_VERSION);
-    return kExitClean;
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "%s\nsee --help\n", error.what());
-    return kExitUsage;
-  }
-  auto settings = ReadSettings(arguments.at("--settings").asString());
+  int exit_code = 0;
+  const auto arguments = ParseCommandLine(
+      kUsage, "wisteriareeld " WISTERIAREEL_VERSION, argc, argv, &exit_code);
+  if (!arguments) return exit_code;
+  auto settings = ReadSettings(arguments->at("--settings").asString());
   if (!settings) return kExitSettings;
-  if (arguments.at("--check-settings").asBool()) {
+  if (arguments->at("--check-settings").asBool()) {
     std::puts("settings: no problem found");
     return kExitClean;
   }
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -33,7 +33,6 @@
 
   // 1400-1499 routing.
   kTargetEjected = 1400,
-  kTargetReadmitted = 1401,
 
   // 1500-1599 config.
   kConfigLoaded = 1500,
--- a/src/routing/rendezvous.h
+++ b/src/routing/pair_rank.h
@@ -1,5 +1,5 @@
-#ifndef WISTERIAREEL_SRC_ROUTING_RENDEZVOUS_H_
-#define WISTERIAREEL_SRC_ROUTING_RENDEZVOUS_H_
+#ifndef WISTERIAREEL_SRC_ROUTING_PAIR_RANK_H_
+#define WISTERIAREEL_SRC_ROUTING_PAIR_RANK_H_
 
 #include <cstdint>
 
@@ -7,7 +7,7 @@
 
 // Returns the rank of the pair for rendezvous hashing: for each `a`, the `b`
 // with the highest rank is chosen. Equal in every process.
-inline std::uint64_t RendezvousRank(std::uint64_t a, std::uint64_t b) {
+inline std::uint64_t PairRank(std::uint64_t a, std::uint64_t b) {
   // The finalizer of SplitMix64 over both.
   std::uint64_t x = a * 0x9e3779b97f4a7c15 ^ b;
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
@@ -17,4 +17,4 @@
 
 }  // namespace wisteriareel
 
-#endif  // WISTERIAREEL_SRC_ROUTING_RENDEZVOUS_H_
+#endif  // WISTERIAREEL_SRC_ROUTING_PAIR_RANK_H_
--- a/src/routing/routing_table.cc
+++ b/src/routing/routing_table.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "src/base/content_hash.h"
-#include "src/routing/rendezvous.h"
+#include "src/routing/pair_rank.h"
 
 namespace wisteriareel {
 namespace {
@@ -18,10 +18,10 @@
 // for the target.
 bool WatchesNear(const std::vector<std::uint64_t>& others, std::uint64_t self,
                  std::uint64_t target, std::size_t watchers) {
-  const std::uint64_t own = RendezvousRank(target, self);
+  const std::uint64_t own = PairRank(target, self);
   std::size_t higher = 0;
   for (const std::uint64_t other : others) {
-    if (RendezvousRank(target, other) > own) ++higher;
+    if (PairRank(target, other) > own) ++higher;
   }
   return higher < watchers;
 }
@@ -53,8 +53,7 @@
   std::vector<Ranked> ranked;
   ranked.reserve(far.size());
   for (const Target* target : far) {
-    ranked.push_back(
-        {RendezvousRank(self, HashOfId(target->id.value())), target});
+    ranked.push_back({PairRank(self, HashOfId(target->id.value())), target});
   }
   const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(scope.max_far);
   std::partial_sort(
--- a/src/routing/target_choice.cc
+++ b/src/routing/target_choice.cc
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <cstddef>
 
-#include "src/routing/rendezvous.h"
+#include "src/routing/pair_rank.h"
 
 namespace wisteriareel {
 namespace {
@@ -115,7 +115,7 @@
   for (const Candidate& candidate : candidates) {
     if (candidate.load + 1 > bound) continue;
     if (hinted && candidate.target->id == *hinted) return candidate;
-    const std::uint64_t rank = RendezvousRank(prefix, candidate.target->hash);
+    const std::uint64_t rank = PairRank(prefix, candidate.target->hash);
     if (best != nullptr && rank <= best_rank) continue;
     best = &candidate;
     best_rank = rank;
