--- /dev/null
+++ b/daemons/wisteriareel_router.cc
@@ -0,0 +1,103 @@
+#include <csignal>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "boost/asio/io_context.hpp"
+#include "daemons/command_line.h"
+#include "platform/message_codec.h"
+#include "platform/store_client.h"
+#include "src/observability/log4cxx_event_log.h"
+#include "src/router/router_daemon.h"
+#include "src/router/router_settings.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr char kUsage[] =
+    R"(wisteriareel-router: one instance of the router fleet on the platform.
+
+Serves until SIGTERM or SIGINT and then shuts down gracefully. SIGHUP reads
+the settings again.
+
+Usage:
+  wisteriareel-router --settings=FILE [--check-settings]
+  wisteriareel-router (-h | --help)
+  wisteriareel-router --version
+
+Options:
+  --settings=FILE   Settings in JSON with comments; see docs/SETTINGS.md.
+  --check-settings  Check the settings, list every problem, and exit.
+  -h --help         Show this.
+  --version         Show the version.
+
+Exit codes: 0 clean shutdown, 1 can't listen, 2 bad command line, 3 wrong
+settings.
+)";
+
+constexpr int kExitClean = 0;
+constexpr int kExitCannotListen = 1;
+constexpr int kExitSettings = 3;
+
+std::optional<RouterSettings> ReadSettings(const std::string& path) {
+  std::vector<SettingsProblem> problems;
+  auto settings = LoadRouterSettings(path, &problems);
+  std::fputs(FormatProblems(problems).c_str(), stderr);
+  return settings;
+}
+
+// Settings are in force from start to end; a changed file is checked and
+// said to wait for the next start.
+void CheckChangedSettings(const std::string& path,
+                          const RouterSettings& in_force, EventLog* log) {
+  std::vector<SettingsProblem> problems;
+  const auto settings = LoadRouterSettings(path, &problems);
+  if (!settings.has_value()) {
+    log->Write(EventId::kSettingsRejected, Severity::kError,
+               "changed settings are wrong",
+               {{"problems", FormatProblems(problems)}});
+    return;
+  }
+  log->Write(EventId::kSettingsReloaded, Severity::kInfo, "settings read again",
+             {{"changed", *settings == in_force ? "no" : "at next start"}});
+}
+
+int Serve(const std::string& path, const RouterSettings& settings) {
+  Log4cxxEventLog log({.least = settings.log_least});
+  boost::asio::io_context io(1);
+  const platform::MessageCodec codec;
+  platform::StoreClient store(&io, settings.table, &log);
+  RouterDaemon daemon(
+      settings, {.codec = &codec, .table = &store, .source = &store}, &io, &log,
+      [&path, &settings, &log] { CheckChangedSettings(path, settings, &log); });
+  LastReason reason;
+  if (!daemon.Start(&reason)) {
+    std::fprintf(stderr, "can't start: %s\n", reason.detail().c_str());
+    return kExitCannotListen;
+  }
+  daemon.Run();
+  return kExitClean;
+}
+
+int Run(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  int exit_code = 0;
+  const auto arguments =
+      ParseCommandLine(kUsage, "wisteriareel-router " WISTERIAREEL_VERSION,
+                       argc, argv, &exit_code);
+  if (!arguments) return exit_code;
+  const std::string path = arguments->at("--settings").asString();
+  const auto settings = ReadSettings(path);
+  if (!settings) return kExitSettings;
+  if (arguments->at("--check-settings").asBool()) {
+    std::puts("settings: no problem found");
+    return kExitClean;
+  }
+  return Serve(path, *settings);
+}
+
+}  // namespace
+}  // namespace wisteriareel
+
+int main(int argc, char** argv) { return wisteriareel::Run(argc, argv); }
--- /dev/null
+++ b/include/wisteriareel/async_table.h
@@ -0,0 +1,120 @@
+#ifndef WISTERIAREEL_ASYNC_TABLE_H_
+#define WISTERIAREEL_ASYNC_TABLE_H_
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "wisteriareel/reason.h"
+#include "wisteriareel/table_service.h"
+
+namespace wisteriareel {
+
+// Names a row of a table whose rows are grouped in parts. Writes of one part
+// are ordered one after another; parts don't wait for each other.
+struct PartRowKey {
+  std::string table;
+  std::string part;
+  std::string key;
+
+  friend bool operator==(const PartRowKey&, const PartRowKey&) = default;
+  friend auto operator<=>(const PartRowKey&, const PartRowKey&) = default;
+};
+
+// A row as read. `version` is never zero, unless the row is absent.
+struct PartRow {
+  PartRowKey key;
+  std::string value;
+  std::uint64_t version = 0;
+  // The row was deleted; only in changes.
+  bool deleted = false;
+
+  friend bool operator==(const PartRow&, const PartRow&) = default;
+};
+
+// Writes `value`, or deletes the row if there is none.
+struct PartRowWrite {
+  PartRowKey key;
+  std::optional<std::string> value;
+
+  friend bool operator==(const PartRowWrite&, const PartRowWrite&) = default;
+};
+
+// Requires a row to be at `version`; zero requires it to be absent.
+struct PartRowCondition {
+  PartRowKey key;
+  std::uint64_t version = 0;
+
+  friend bool operator==(const PartRowCondition&,
+                         const PartRowCondition&) = default;
+};
+
+// Rows of one part that are written together if all conditions hold.
+struct PartTransaction {
+  std::vector<PartRowCondition> conditions;
+  std::vector<PartRowWrite> writes;
+
+  friend bool operator==(const PartTransaction&,
+                         const PartTransaction&) = default;
+};
+
+struct CommitReply {
+  CommitOutcome outcome = CommitOutcome::kUnknown;
+  // Version of the rows written, if committed.
+  std::uint64_t version = 0;
+  // The rows of the conditions as they are, if they conflicted. Absent rows
+  // are left out.
+  std::vector<PartRow> current;
+};
+
+// Rows as of one moment.
+struct RowsReply {
+  std::vector<PartRow> rows;
+  // Newest version of the whole table service at that moment.
+  std::uint64_t version = 0;
+};
+
+// What became of waiting for changes.
+enum class FollowOutcome : std::uint8_t {
+  // The reply holds what changed, which may be nothing.
+  kChanges,
+  // The history asked for is gone; read the rows instead.
+  kHistoryLost,
+  kFailed,
+};
+
+struct FollowReply {
+  FollowOutcome outcome = FollowOutcome::kFailed;
+  RowsReply changes;
+};
+
+// The platform's table, called without blocking. Each callback runs once, on
+// the thread that runs all others, and never from within the call. A call
+// that gets no answer in time ends with kUnknown, nullopt or kFailed.
+class AsyncTable {
+ public:
+  using CommitDone = std::function<void(CommitReply)>;
+  using ReadDone =
+      std::function<void(std::optional<RowsReply>, const LastReason&)>;
+  using FollowDone = std::function<void(FollowReply, const LastReason&)>;
+
+  virtual ~AsyncTable() = default;
+
+  virtual void Commit(const PartTransaction& transaction, CommitDone done) = 0;
+
+  // Reads all rows of a part of `table`.
+  virtual void Read(const std::string& table, const std::string& part,
+                    ReadDone done) = 0;
+
+  // Waits up to `wait` for rows of `table` that changed after `version`.
+  virtual void Follow(const std::string& table, std::uint64_t version,
+                      absl::Duration wait, FollowDone done) = 0;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_ASYNC_TABLE_H_
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -17,12 +17,14 @@
   kDaemonDraining = 1002,
   kDaemonStopped = 1003,
   kSettingsRejected = 1004,
+  kSettingsReloaded = 1005,
 
   // 1100-1199 platform.
   // 1200-1299 budget.
   kGrantsReclaimed = 1200,
   kRecordsWait = 1201,
   kHolderReclaimed = 1202,
+  kBudgetOrderEnded = 1203,
   // 1300-1399 request.
   kClaimInDoubt = 1300,
   kClaimReleasePending = 1301,
@@ -30,9 +32,16 @@
   kClaimResolved = 1303,
   kAnswerBroken = 1304,
   kRequestsDrained = 1305,
+  kRequestEnded = 1306,
+  kRequestRepeated = 1307,
+  kRequestRefused = 1308,
 
   // 1400-1499 routing.
   kTargetEjected = 1400,
+  kTargetBack = 1401,
+  kTargetListed = 1402,
+  kTargetListAway = 1403,
+  kTargetListBack = 1404,
 
   // 1500-1599 config.
   kConfigLoaded = 1500,
@@ -41,6 +50,8 @@
   kConfigHeadBehind = 1503,
   kConfigPlatformAway = 1504,
   kConfigPlatformBack = 1505,
+  kRouteConfigApplied = 1506,
+  kRouteConfigRejected = 1507,
 
   // 1600-1699 membership.
   kMemberSuspected = 1600,
--- /dev/null
+++ b/src/forward/exchange.cc
@@ -0,0 +1,452 @@
+#include "src/forward/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace wisteriareel {
+namespace {
+
+// Longest wait for tokens from the platform: a few of its calls, one of them
+// repeated.
+constexpr absl::Duration kBudgetWait = absl::Milliseconds(400);
+// A body up to this size is kept until it is whole, so that a broken answer
+// can still be replaced.
+constexpr std::size_t kMaxKeptBody = 256 << 10;
+// Failed connections in a row after which a request is refused.
+constexpr int kMaxUnreachable = 4;
+// A request that did not run is sent once more even on routes that allow a
+// single target, whose limit is about targets that may have run it.
+constexpr int kMinSendsIfNotRun = 2;
+// Least time left for which another attempt is worth its cost.
+constexpr absl::Duration kLeastAttemptTime = absl::Milliseconds(60);
+// Waits that callers are told before they come back.
+constexpr absl::Duration kBusyRetryAfter = absl::Milliseconds(500);
+constexpr absl::Duration kBudgetRetryAfter = absl::Milliseconds(800);
+// Silence of a target, in multiples of what callers expect, after which
+// repeatable work goes elsewhere.
+constexpr double kHeadSilence = 2.5;
+constexpr double kPauseSilence = 4;
+constexpr absl::Duration kLeastSilence = absl::Milliseconds(300);
+constexpr int kUrgencyPerCustomerPriority = 3;
+constexpr int kLeastUrgent = 9;
+
+std::string Ms(absl::Duration duration) {
+  return absl::StrCat(absl::ToInt64Milliseconds(duration));
+}
+
+}  // namespace
+
+Exchange::Exchange(ExchangeRequest request, const ExchangeServices& services,
+                   ExchangeHost* host)
+    : request_(std::move(request)), services_(services), host_(host) {}
+
+Exchange::~Exchange() = default;
+
+absl::Time Exchange::Deadline() const {
+  absl::Duration limit = request_.route->timeout;
+  if (request_.facts.patience.has_value()) {
+    limit = std::min(limit, *request_.facts.patience);
+  }
+  return request_.arrived + limit;
+}
+
+void Exchange::Start(absl::Time now) {
+  services_.counters->Add(Counter::kRequests, 1);
+  services_.repeats->NoteRequest(request_.service, now);
+  phase_ = Phase::kBudget;
+  TryReserve(now);
+}
+
+void Exchange::OnLedgerChanged(absl::Time now) {
+  if (phase_ == Phase::kBudget) TryReserve(now);
+}
+
+void Exchange::TryReserve(absl::Time now) {
+  const Tokens most = request_.facts.MostTokens();
+  if (!request_.engine.has_value() || request_.customer.empty()) {
+    Dispatch(now);
+    return;
+  }
+  switch (services_.ledger->Reserve(request_.customer, most, now)) {
+    case ReserveResult::kReserved:
+      reserved_ = true;
+      Dispatch(now);
+      return;
+    case ReserveResult::kWait:
+      SetTimer(now);
+      return;
+    case ReserveResult::kExhausted:
+      RefuseWith(402, Reason::kBudgetExhausted, std::nullopt, now);
+      return;
+    case ReserveResult::kHeldElsewhere:
+      RefuseWith(503, Reason::kGrantTooSmall, kBudgetRetryAfter, now);
+      return;
+    case ReserveResult::kPlatformAway:
+      RefuseWith(503, Reason::kBudgetPlatformAway, kBudgetRetryAfter, now);
+      return;
+  }
+}
+
+PlacementNeed Exchange::Need() const {
+  PlacementNeed need{.service = request_.service,
+                     .engine = request_.engine.has_value(),
+                     .tried = tried_};
+  const std::vector<PromptPart>& parts = request_.facts.prompt_parts;
+  if (!need.engine || parts.empty()) {
+    need.own_tokens = request_.facts.prompt_tokens;
+    return need;
+  }
+  // All parts but the last can be shared; the longest one names their home.
+  const PromptPart* longest = nullptr;
+  for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
+    need.shared_tokens += parts[n].tokens;
+    if (longest == nullptr || parts[n].tokens > longest->tokens) {
+      longest = &parts[n];
+    }
+  }
+  if (longest != nullptr) need.shared_key = longest->id;
+  need.own_tokens = request_.facts.prompt_tokens - need.shared_tokens;
+  return need;
+}
+
+void Exchange::Dispatch(absl::Time now) {
+  placement_ = services_.pool->Choose(Need(), now);
+  if (!placement_.has_value()) {
+    RefuseWith(503, Reason::kNoTargetAvailable, kBusyRetryAfter, now);
+    return;
+  }
+  tried_.push_back(placement_->target.id);
+  phase_ = Phase::kSent;
+  sent_at_ = now;
+  heard_at_ = now;
+  events_ = EventSplitter();
+  body_.clear();
+  relays_events_ = false;
+  ++sends_;
+  AttemptOptions options{.target = placement_->target,
+                         .fresh_connection = !request_.route->Repeatable(),
+                         .resume_after = last_event_.has_value()
+                                             ? last_event_
+                                             : request_.facts.resume_after,
+                         .time_left = Deadline() - now,
+                         .customer = request_.customer};
+  if (request_.engine.has_value()) {
+    options.urgency = std::clamp(
+        request_.customer_priority.value_or(0) * kUrgencyPerCustomerPriority +
+            request_.route->priority,
+        0, kLeastUrgent);
+  }
+  SetTimer(now);
+  host_->StartAttempt(options);
+}
+
+void Exchange::EndAttempt(TargetOutcome outcome, absl::Time now) {
+  if (!placement_.has_value()) return;
+  const std::optional<TargetChange> change =
+      services_.pool->Finish(*placement_, outcome, now);
+  if (change.has_value()) {
+    services_.log->Write(change->kind == TargetChange::Kind::kEjected
+                             ? EventId::kTargetEjected
+                             : EventId::kTargetBack,
+                         Severity::kWarning, "target changed by observation",
+                         {{"target", change->id.value()},
+                          {"request", request_.facts.id.value()}});
+  }
+  placement_.reset();
+}
+
+void Exchange::OnUnreachable(absl::Time now) {
+  if (phase_ != Phase::kSent) return;
+  EndAttempt(TargetOutcome::kUnreachable, now);
+  --sends_;
+  ++unreachable_;
+  services_.counters->Retried(Reason::kTargetUnreachable);
+  if (unreachable_ < kMaxUnreachable && Deadline() - now > kLeastAttemptTime) {
+    Dispatch(now);
+    return;
+  }
+  FailAttempt(Reason::kTargetUnreachable, now);
+}
+
+bool Exchange::TryRepeat(bool not_run, Reason reason, absl::Time now) {
+  if (!TakeRepeat(not_run, reason, now)) return false;
+  Dispatch(now);
+  return true;
+}
+
+bool Exchange::TakeRepeat(bool not_run, Reason reason, absl::Time now) {
+  const bool allowed = not_run || request_.route->Repeatable();
+  const int limit = not_run && verdict_ == Verdict::kNotRun
+                        ? std::max(request_.route->attempts, kMinSendsIfNotRun)
+                        : request_.route->attempts;
+  if (!allowed || sends_ >= limit) return false;
+  if (Deadline() - now < kLeastAttemptTime) return false;
+  if (!services_.repeats->TryTake(request_.service, now)) {
+    services_.counters->Refused(Reason::kRetryBudgetSpent);
+    return false;
+  }
+  services_.counters->Retried(reason);
+  services_.log->Write(EventId::kRequestRepeated, Severity::kInfo,
+                       "request goes to another target",
+                       {{"request", request_.facts.id.value()},
+                        {"reason", std::string(ReasonName(reason))},
+                        {"after_target", tried_.back().value()},
+                        {"sends", absl::StrCat(sends_)}});
+  return true;
+}
+
+void Exchange::OnHead(const AnswerFacts& facts, absl::Time now) {
+  if (phase_ != Phase::kSent) return;
+  heard_at_ = now;
+  if (facts.wrong_target || facts.not_run) {
+    EndAttempt(
+        facts.wrong_target ? TargetOutcome::kUnreachable : TargetOutcome::kShed,
+        now);
+    host_->CancelAttempt();
+    const Reason reason = facts.wrong_target ? Reason::kTargetUnreachable
+                                             : Reason::kPoolSaturated;
+    if (TryRepeat(/*not_run=*/true, reason, now)) return;
+    FailAttempt(reason, now);
+    return;
+  }
+  verdict_ = Verdict::kRan;
+  const bool success = facts.status >= 200 && facts.status < 300;
+  if (facts.status >= 500 && request_.route->kind == RouteKind::kIdempotent &&
+      TakeRepeat(/*not_run=*/false, Reason::kTargetFailed, now)) {
+    EndAttempt(TargetOutcome::kFailed, now);
+    host_->CancelAttempt();
+    Dispatch(now);
+    return;
+  }
+  if (head_sent_ && !success) {
+    // A resumed stream got no continuation.
+    EndAttempt(TargetOutcome::kFailed, now);
+    host_->CancelAttempt();
+    if (TryRepeat(/*not_run=*/false, Reason::kTargetFailed, now)) return;
+    FailAttempt(Reason::kTargetFailed, now);
+    return;
+  }
+  phase_ = Phase::kAnswering;
+  answer_status_ = facts.status;
+  relays_events_ = success && request_.route->kind == RouteKind::kStreaming;
+  SetTimer(now);
+}
+
+void Exchange::OnBody(std::string_view bytes, absl::Time now) {
+  if (phase_ != Phase::kAnswering) return;
+  heard_at_ = now;
+  if (relays_events_) {
+    RelayEvents(bytes, now);
+    return;
+  }
+  if (placement_.has_value()) {
+    services_.pool->Started(&*placement_, now - sent_at_, now);
+  }
+  if (head_sent_) {
+    host_->SendBody(std::string(bytes));
+    return;
+  }
+  body_.append(bytes);
+  if (body_.size() <= kMaxKeptBody) return;
+  head_sent_ = true;
+  host_->SendHead(std::nullopt);
+  host_->SendBody(std::exchange(body_, {}));
+}
+
+void Exchange::RelayEvents(std::string_view bytes, absl::Time now) {
+  const std::vector<StreamEvent> events = events_.Add(bytes);
+  std::string out;
+  for (const StreamEvent& event : events) {
+    const std::optional<std::int64_t> before =
+        last_event_.has_value() ? last_event_ : request_.facts.resume_after;
+    // A resumed stream may begin with what was delivered before.
+    if (event.id.has_value() && before.has_value() && *event.id <= *before) {
+      continue;
+    }
+    out += event.bytes;
+    ++events_sent_;
+    if (event.id.has_value()) last_event_ = event.id;
+  }
+  if (placement_.has_value() && !events.empty()) {
+    services_.pool->Started(&*placement_, now - sent_at_, now);
+  }
+  if (events_.Overflown()) {
+    host_->CancelAttempt();
+    EndAttempt(TargetOutcome::kBroken, now);
+    FailAttempt(Reason::kTooLarge, now);
+    return;
+  }
+  if (out.empty()) return;
+  if (!head_sent_) {
+    head_sent_ = true;
+    first_event_at_ = now;
+    host_->SendHead(std::nullopt);
+  }
+  host_->SendBody(std::move(out));
+  SetTimer(now);
+}
+
+void Exchange::OnEnd(absl::Time now) {
+  if (phase_ != Phase::kAnswering) return;
+  if (relays_events_ && (events_.HasPartial() || !head_sent_)) {
+    OnBroken(now);
+    return;
+  }
+  EndAttempt(
+      answer_status_ >= 500 ? TargetOutcome::kFailed : TargetOutcome::kAnswered,
+      now);
+  if (!head_sent_) {
+    head_sent_ = true;
+    host_->SendHead(body_.size());
+    if (!body_.empty()) host_->SendBody(std::move(body_));
+  }
+  host_->FinishAnswer();
+  services_.counters->Add(Counter::kAnswersWhole, 1);
+  Finish("answered", Reason::kNone, now);
+}
+
+void Exchange::OnBroken(absl::Time now) {
+  if (phase_ != Phase::kSent && phase_ != Phase::kAnswering) return;
+  host_->CancelAttempt();
+  EndAttempt(TargetOutcome::kBroken, now);
+  verdict_ = Combine(verdict_, Verdict::kMayHaveRun);
+  if (TryRepeat(/*not_run=*/false, Reason::kAnswerIncomplete, now)) return;
+  FailAttempt(Reason::kAnswerIncomplete, now);
+}
+
+void Exchange::FailAttempt(Reason reason, absl::Time now) {
+  if (head_sent_) {
+    host_->BreakOff();
+    Finish("broken_off", reason, now);
+    return;
+  }
+  if (verdict_ == Verdict::kNotRun) {
+    RefuseWith(503, reason, kBusyRetryAfter, now);
+    return;
+  }
+  RefuseWith(502, reason, std::nullopt, now);
+}
+
+void Exchange::RefuseWith(int status, Reason reason,
+                          std::optional<absl::Duration> after, absl::Time now) {
+  services_.counters->Refused(reason);
+  answer_status_ = status;
+  host_->Refuse({.status = status,
+                 .reason = reason,
+                 .verdict = verdict_,
+                 .retry_after = after});
+  Finish("refused", reason, now);
+}
+
+void Exchange::Abort(absl::Time now) {
+  if (phase_ != Phase::kSent && phase_ != Phase::kAnswering) return;
+  verdict_ = Combine(verdict_, Verdict::kMayHaveRun);
+  host_->CancelAttempt();
+  EndAttempt(TargetOutcome::kAbandoned, now);
+}
+
+void Exchange::OnCallerGone(absl::Time now) {
+  if (phase_ == Phase::kDone) return;
+  Abort(now);
+  Finish("caller_gone", Reason::kCallerGone, now);
+}
+
+absl::Duration Exchange::SilenceLimit() const {
+  const Route& route = *request_.route;
+  const absl::Duration limit = first_event_at_ == absl::InfiniteFuture()
+                                   ? route.objective * kHeadSilence
+                                   : route.pause_objective * kPauseSilence;
+  return std::max(limit, kLeastSilence);
+}
+
+void Exchange::SetTimer(absl::Time now) {
+  absl::Time when = Deadline();
+  if (phase_ == Phase::kBudget) when = std::min(when, now + kBudgetWait);
+  if (phase_ == Phase::kSent || phase_ == Phase::kAnswering) {
+    if (request_.route->Repeatable() && sends_ < request_.route->attempts) {
+      when = std::min(when, heard_at_ + SilenceLimit());
+    }
+  }
+  host_->SetTimer(std::max(when, now));
+}
+
+void Exchange::OnTimer(absl::Time now) {
+  if (phase_ == Phase::kDone) return;
+  if (phase_ == Phase::kBudget) {
+    RefuseWith(503, Reason::kBudgetPlatformAway, kBudgetRetryAfter, now);
+    return;
+  }
+  if (now < Deadline()) {
+    if (heard_at_ + SilenceLimit() > now) {
+      SetTimer(now);
+      return;
+    }
+    // The target is silent: another one may answer in time.
+    const bool can_repeat =
+        sends_ < request_.route->attempts && request_.route->Repeatable() &&
+        services_.pool->CountUsable(request_.service, now) > 1;
+    if (!can_repeat || !services_.repeats->TryTake(request_.service, now)) {
+      heard_at_ = now;
+      SetTimer(now);
+      return;
+    }
+    host_->CancelAttempt();
+    EndAttempt(TargetOutcome::kBroken, now);
+    verdict_ = Combine(verdict_, Verdict::kMayHaveRun);
+    services_.counters->Retried(Reason::kStreamStalled);
+    Dispatch(now);
+    return;
+  }
+  Abort(now);
+  if (head_sent_) {
+    host_->BreakOff();
+    Finish("broken_off", Reason::kDeadlineExceeded, now);
+    return;
+  }
+  RefuseWith(504, Reason::kDeadlineExceeded, std::nullopt, now);
+}
+
+Tokens Exchange::Used() const {
+  if (verdict_ == Verdict::kNotRun) return Tokens(0);
+  const std::int64_t per_event =
+      request_.engine.has_value() ? request_.engine->tokens_per_event : 1;
+  return request_.facts.prompt_tokens +
+         std::min(request_.facts.max_output_tokens,
+                  Tokens(events_sent_ * per_event));
+}
+
+void Exchange::Finish(std::string_view outcome, Reason reason, absl::Time now) {
+  phase_ = Phase::kDone;
+  if (reserved_) {
+    services_.ledger->Settle(request_.customer, request_.facts.MostTokens(),
+                             Used(), now);
+    services_.counters->Add(Counter::kTokensBilled,
+                            static_cast<std::uint64_t>(Used().value()));
+  }
+  services_.counters->Record(Timing::kRequest, now - request_.arrived);
+  std::vector<EventField> fields = {
+      {"request", request_.facts.id.value()},
+      {"outcome", std::string(outcome)},
+      {"status", absl::StrCat(answer_status_)},
+      {"reason", std::string(ReasonName(reason))},
+      {"verdict", std::string(VerdictName(verdict_))},
+      {"route", request_.route->name},
+      {"customer", request_.customer.value()},
+      {"targets", absl::StrCat(tried_.size())},
+      {"last_target", tried_.empty() ? "none" : tried_.back().value()},
+      {"events", absl::StrCat(events_sent_)},
+      {"tokens", absl::StrCat(reserved_ ? Used().value() : 0)},
+      {"ms", Ms(now - request_.arrived)},
+      {"config", absl::StrCat(request_.table->config().revision.value())}};
+  if (first_event_at_ != absl::InfiniteFuture()) {
+    services_.counters->Record(Timing::kFirstToken,
+                               first_event_at_ - request_.arrived);
+    fields.push_back({"first_ms", Ms(first_event_at_ - request_.arrived)});
+  }
+  services_.log->Write(EventId::kRequestEnded, Severity::kInfo, "request ended",
+                       fields);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/forward/prepaid_ledger.cc
@@ -0,0 +1,303 @@
+#include "src/forward/prepaid_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace wisteriareel {
+namespace {
+
+constexpr char kTable[] = "budgets";
+constexpr char kPoolRow[] = "pool";
+// Demand is averaged over this time.
+constexpr absl::Duration kRateMemory = absl::Seconds(4);
+// An order is due when less than this share of the target is free.
+constexpr double kRefillShare = 0.6;
+// An instance that has seen no request holds this share of its even part.
+constexpr int kIdleShare = 40;
+// What is left of a pool is handed out in halves, so that one instance never
+// takes the last of it.
+constexpr int kPoolDivisor = 2;
+// Settled tokens are reported at least this often, so that others can tell an
+// exhausted budget from one that is held elsewhere.
+constexpr absl::Duration kReportInterval = absl::Seconds(2);
+// A pool found empty is asked again after this time.
+constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(700);
+constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
+constexpr absl::Duration kLongestBackoff = absl::Seconds(1);
+
+// Rows hold two decimal numbers: granted and settled tokens.
+std::string Encode(std::int64_t granted, std::int64_t settled) {
+  return absl::StrCat(granted, " ", settled);
+}
+
+bool Decode(const std::string& value, std::int64_t* granted,
+            std::int64_t* settled) {
+  const std::vector<std::string> fields = absl::StrSplit(value, ' ');
+  return fields.size() == 2 && absl::SimpleAtoi(fields[0], granted) &&
+         absl::SimpleAtoi(fields[1], settled);
+}
+
+}  // namespace
+
+PrepaidLedger::PrepaidLedger(PrepaidLedgerOptions options)
+    : options_(std::move(options)) {}
+
+PartRowKey PrepaidLedger::PoolKey(const CustomerId& id) {
+  return {.table = kTable, .part = id.value(), .key = kPoolRow};
+}
+
+PartRowKey PrepaidLedger::HolderKey(const CustomerId& id) const {
+  return {.table = kTable,
+          .part = id.value(),
+          .key = absl::StrCat("holder/", options_.holder)};
+}
+
+void PrepaidLedger::SetBudgets(const RouteConfig& config) {
+  for (auto& [id, account] : accounts_) account.prepaid = std::nullopt;
+  for (const CustomerSpec& customer : config.customers) {
+    Account& account = accounts_[customer.id];
+    account.prepaid = customer.prepaid;
+    account.next_order = absl::InfinitePast();
+  }
+}
+
+void PrepaidLedger::SetInstances(int count) { instances_ = std::max(1, count); }
+
+std::int64_t PrepaidLedger::FreeOf(const Account& account) const {
+  return account.own.granted - account.settled - account.reserved -
+         account.lent - account.returning;
+}
+
+void PrepaidLedger::NoteUse(Account* account, std::int64_t amount,
+                            absl::Time now) {
+  if (account->rate_at != absl::InfinitePast()) {
+    account->recent *=
+        std::exp(-absl::FDivDuration(now - account->rate_at, kRateMemory));
+  }
+  account->rate_at = now;
+  account->recent += static_cast<double>(amount);
+}
+
+ReserveResult PrepaidLedger::Reserve(const CustomerId& customer, Tokens most,
+                                     absl::Time now) {
+  Account& account = accounts_[customer];
+  if (!account.prepaid.has_value()) return ReserveResult::kReserved;
+  const std::int64_t amount = most.value();
+  account.last_request = amount;
+  if (FreeOf(account) >= amount) {
+    account.reserved += amount;
+    NoteUse(&account, amount, now);
+    return ReserveResult::kReserved;
+  }
+  if (account.pool_known) {
+    const std::int64_t prepaid = account.prepaid->value();
+    const std::int64_t unreported = account.settled - account.own.settled;
+    if (prepaid - account.pool.settled - unreported < amount) {
+      return ReserveResult::kExhausted;
+    }
+  }
+  account.wanted = std::max(account.wanted, amount);
+  if (account.platform_away) return ReserveResult::kPlatformAway;
+  if (account.pool_known && account.next_order > now) {
+    return ReserveResult::kHeldElsewhere;
+  }
+  return ReserveResult::kWait;
+}
+
+void PrepaidLedger::Settle(const CustomerId& customer, Tokens most, Tokens used,
+                           absl::Time now) {
+  Account& account = accounts_[customer];
+  // A customer that became limited meanwhile reserved nothing.
+  const std::int64_t reserved = std::min(account.reserved, most.value());
+  if (reserved == 0) return;
+  account.reserved -= reserved;
+  account.settled += std::min(used.value(), reserved);
+  account.changed_at = now;
+}
+
+std::int64_t PrepaidLedger::TargetOf(const Account& account,
+                                     absl::Time now) const {
+  if (giving_up_) return 0;
+  const std::int64_t prepaid = account.prepaid->value();
+  const std::int64_t available = prepaid - account.pool.granted;
+  double rate = 0;
+  if (account.rate_at != absl::InfinitePast()) {
+    rate = account.recent *
+           std::exp(-absl::FDivDuration(now - account.rate_at, kRateMemory)) /
+           absl::ToDoubleSeconds(kRateMemory);
+  }
+  const double by_rate = rate * absl::ToDoubleSeconds(options_.horizon);
+  std::int64_t target = static_cast<std::int64_t>(by_rate);
+  if (available > prepaid / 2) {
+    target = std::max(target, prepaid / (kIdleShare * instances_));
+  }
+  return target;
+}
+
+std::int64_t PrepaidLedger::PlanGrant(const Account& account,
+                                      absl::Time now) const {
+  if (giving_up_) return 0;
+  const std::int64_t available =
+      account.prepaid->value() - account.pool.granted;
+  if (account.pool_known && available <= 0) return 0;
+  const std::int64_t free = FreeOf(account);
+  const std::int64_t target = TargetOf(account, now);
+  std::int64_t grant = 0;
+  if (static_cast<double>(free) < kRefillShare * static_cast<double>(target)) {
+    grant = target - free;
+  }
+  grant = std::min(grant, available / (kPoolDivisor * instances_));
+  grant = std::max(grant, account.wanted - free);
+  if (grant > available) {
+    // Part of what a request needs is of no use here.
+    grant = 0;
+  }
+  return std::max<std::int64_t>(0, grant);
+}
+
+std::int64_t PrepaidLedger::PlanReturn(const Account& account,
+                                       absl::Time now) const {
+  const std::int64_t free = FreeOf(account);
+  if (giving_up_) return std::max<std::int64_t>(0, free);
+  const std::int64_t target = TargetOf(account, now);
+  const std::int64_t keep = std::max(2 * target, 2 * account.last_request);
+  if (free <= keep) return 0;
+  return free - std::max(target, account.last_request);
+}
+
+std::optional<PartTransaction> PrepaidLedger::Plan(const CustomerId& id,
+                                                   Account* account,
+                                                   absl::Time now) const {
+  const std::int64_t grant = PlanGrant(*account, now);
+  const std::int64_t give_back = grant > 0 ? 0 : PlanReturn(*account, now);
+  const std::int64_t report = account->settled - account->own.settled;
+  const bool report_due =
+      report > 0 &&
+      (giving_up_ || account->next_order + kReportInterval <= now);
+  // A pool that seems too small for a waiting request is looked at again: an
+  // order that changes nothing conflicts if the pool has changed.
+  const bool look_again = account->wanted > FreeOf(*account);
+  if (grant == 0 && give_back == 0 && !report_due && !look_again) {
+    return std::nullopt;
+  }
+  account->returning = give_back;
+  PartTransaction transaction;
+  transaction.conditions = {
+      {.key = PoolKey(id), .version = account->pool_version},
+      {.key = HolderKey(id), .version = account->own_version}};
+  transaction.writes = {
+      {.key = PoolKey(id),
+       .value = Encode(account->pool.granted + grant - give_back,
+                       account->pool.settled + report)},
+      {.key = HolderKey(id),
+       .value = Encode(account->own.granted + grant - give_back,
+                       account->own.settled + report)}};
+  return transaction;
+}
+
+std::vector<LedgerOrder> PrepaidLedger::TakeOrders(absl::Time now) {
+  std::vector<LedgerOrder> orders;
+  for (auto& [id, account] : accounts_) {
+    if (!account.prepaid.has_value() || account.in_flight) continue;
+    if (account.next_order > now) continue;
+    if (!account.order.has_value()) account.order = Plan(id, &account, now);
+    if (!account.order.has_value()) continue;
+    account.in_flight = true;
+    orders.push_back({.customer = id, .transaction = *account.order});
+  }
+  return orders;
+}
+
+void PrepaidLedger::Adopt(Account* account, const std::vector<PartRow>& rows) {
+  account->pool = {};
+  account->pool_version = 0;
+  account->own = {};
+  account->own_version = 0;
+  for (const PartRow& row : rows) {
+    const bool is_pool = row.key.key == kPoolRow;
+    Totals& totals = is_pool ? account->pool : account->own;
+    (is_pool ? account->pool_version : account->own_version) = row.version;
+    if (Decode(row.value, &totals.granted, &totals.settled)) continue;
+    // An unreadable pool grants nothing.
+    if (is_pool) totals.granted = INT64_MAX / 2;
+  }
+  account->pool_known = true;
+}
+
+void PrepaidLedger::Complete(const CustomerId& customer,
+                             const CommitReply& reply, absl::Time now) {
+  Account& account = accounts_[customer];
+  account.in_flight = false;
+  if (!account.order.has_value()) return;
+  if (reply.outcome == CommitOutcome::kRejected ||
+      reply.outcome == CommitOutcome::kUnknown) {
+    account.platform_away = true;
+    account.backoff =
+        std::clamp(account.backoff * 2, kFirstBackoff, kLongestBackoff);
+    account.next_order = now + account.backoff;
+    return;
+  }
+  account.platform_away = false;
+  account.backoff = absl::ZeroDuration();
+  if (reply.outcome == CommitOutcome::kCommitted) {
+    std::vector<PartRow> rows;
+    for (const PartRowWrite& write : account.order->writes) {
+      rows.push_back({.key = write.key,
+                      .value = write.value.value_or(""),
+                      .version = reply.version});
+    }
+    Adopt(&account, rows);
+  } else {
+    Adopt(&account, reply.current);
+  }
+  account.order.reset();
+  account.returning = 0;
+  account.next_order = now;
+  const std::int64_t available =
+      account.prepaid.value_or(Tokens(0)).value() - account.pool.granted;
+  if (account.wanted - FreeOf(account) > available) {
+    account.next_order = now + kEmptyPoolInterval;
+  }
+  account.wanted = 0;
+}
+
+bool PrepaidLedger::Settled() const {
+  for (const auto& [id, account] : accounts_) {
+    if (!account.prepaid.has_value()) continue;
+    if (account.order.has_value() || account.reserved > 0) return false;
+    if (FreeOf(account) > 0 || account.settled > account.own.settled) {
+      return false;
+    }
+  }
+  return true;
+}
+
+Tokens PrepaidLedger::Free(const CustomerId& customer) const {
+  const auto it = accounts_.find(customer);
+  return it == accounts_.end() ? Tokens(0) : Tokens(FreeOf(it->second));
+}
+
+Tokens PrepaidLedger::Lend(const CustomerId& customer, Tokens wanted,
+                           absl::Time now) {
+  const auto it = accounts_.find(customer);
+  if (it == accounts_.end() || !it->second.prepaid.has_value()) {
+    return Tokens(0);
+  }
+  Account& account = it->second;
+  const std::int64_t spare = FreeOf(account) - TargetOf(account, now) / 2;
+  const std::int64_t amount = std::clamp<std::int64_t>(
+      spare, 0, std::max<std::int64_t>(0, wanted.value()));
+  account.lent += amount;
+  return Tokens(amount);
+}
+
+void PrepaidLedger::Borrow(const CustomerId& customer, Tokens amount) {
+  accounts_[customer].lent -= amount.value();
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/forward/prepaid_ledger.h
@@ -0,0 +1,147 @@
+#ifndef WISTERIAREEL_SRC_FORWARD_PREPAID_LEDGER_H_
+#define WISTERIAREEL_SRC_FORWARD_PREPAID_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "src/forward/route_config.h"
+#include "wisteriareel/async_table.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+// Whether tokens could be set aside for a request.
+enum class ReserveResult : std::uint8_t {
+  kReserved,
+  // The platform has to be asked first; worth waiting for.
+  kWait,
+  // What the customer has left doesn't cover the request.
+  kExhausted,
+  // What is left is held by other instances and may come back.
+  kHeldElsewhere,
+  // The platform can't be reached and what is held here doesn't suffice.
+  kPlatformAway,
+};
+
+struct PrepaidLedgerOptions {
+  // Identifies this life of this instance; never used again.
+  std::string holder;
+  // Time that what is held should last without the platform; the outages that
+  // the platform names last up to nine seconds.
+  absl::Duration horizon = absl::Seconds(8);
+};
+
+// A transaction to be sent for a customer.
+struct LedgerOrder {
+  CustomerId customer;
+  PartTransaction transaction;
+};
+
+// Prepaid tokens that this instance holds, by customer.
+//
+// Each customer has a part of the platform's table with one pool row, the sum
+// of what was granted and settled, and one row a holder. A grant moves both in
+// one transaction, so that over all holders, dead or alive, settled plus held
+// tokens never exceed what was paid. An order whose reply was lost is sent
+// again unchanged: its conditions let it take effect at most once, and the
+// conflict that follows tells what is so. Not thread-safe; opens no
+// connection.
+class PrepaidLedger {
+ public:
+  explicit PrepaidLedger(PrepaidLedgerOptions options);
+
+  // Takes the budgets of `config`. Customers without one are unlimited.
+  void SetBudgets(const RouteConfig& config);
+
+  // Sets the number of instances that draw on each budget, at least 1.
+  void SetInstances(int count);
+
+  // Sets `most` tokens aside.
+  ReserveResult Reserve(const CustomerId& customer, Tokens most,
+                        absl::Time now);
+
+  // Ends a reservation of `most`, of which `used` were consumed.
+  void Settle(const CustomerId& customer, Tokens most, Tokens used,
+              absl::Time now);
+
+  // Returns the orders that are due. Each must be answered by Complete.
+  std::vector<LedgerOrder> TakeOrders(absl::Time now);
+
+  // Takes the reply to the customer's order.
+  void Complete(const CustomerId& customer, const CommitReply& reply,
+                absl::Time now);
+
+  // From now on everything that isn't reserved goes back.
+  void GiveUp() { giving_up_ = true; }
+
+  // Returns true if nothing is held or in doubt any more.
+  bool Settled() const;
+
+  // Returns what could be reserved for `customer` now.
+  Tokens Free(const CustomerId& customer) const;
+
+  // Takes up to `wanted` tokens out of this ledger for another instance,
+  // leaving enough for what this one serves itself. Returns the amount.
+  Tokens Lend(const CustomerId& customer, Tokens wanted, absl::Time now);
+
+  // Adds tokens lent by another instance.
+  void Borrow(const CustomerId& customer, Tokens amount);
+
+ private:
+  struct Totals {
+    std::int64_t granted = 0;
+    std::int64_t settled = 0;
+  };
+  struct Account {
+    std::optional<Tokens> prepaid;
+    // As of the last definite reply.
+    Totals pool;
+    std::uint64_t pool_version = 0;
+    bool pool_known = false;
+    Totals own;
+    std::uint64_t own_version = 0;
+    // Settled here, including what is not yet reported.
+    std::int64_t settled = 0;
+    std::int64_t reserved = 0;
+    // Lent to others (positive) or borrowed from them (negative).
+    std::int64_t lent = 0;
+    // Given back by an order whose outcome isn't known.
+    std::int64_t returning = 0;
+    // Worst case of the largest request that waits.
+    std::int64_t wanted = 0;
+    std::int64_t last_request = 0;
+    // Decayed sum of reservations, as of `rate_at`.
+    double recent = 0;
+    absl::Time rate_at = absl::InfinitePast();
+    std::optional<PartTransaction> order;
+    bool in_flight = false;
+    absl::Time next_order = absl::InfinitePast();
+    absl::Duration backoff;
+    bool platform_away = false;
+    absl::Time changed_at = absl::InfinitePast();
+  };
+
+  std::int64_t FreeOf(const Account& account) const;
+  std::int64_t TargetOf(const Account& account, absl::Time now) const;
+  void NoteUse(Account* account, std::int64_t amount, absl::Time now);
+  std::optional<PartTransaction> Plan(const CustomerId& id, Account* account,
+                                      absl::Time now) const;
+  std::int64_t PlanGrant(const Account& account, absl::Time now) const;
+  std::int64_t PlanReturn(const Account& account, absl::Time now) const;
+  void Adopt(Account* account, const std::vector<PartRow>& rows);
+  static PartRowKey PoolKey(const CustomerId& id);
+  PartRowKey HolderKey(const CustomerId& id) const;
+
+  const PrepaidLedgerOptions options_;
+  int instances_ = 1;
+  bool giving_up_ = false;
+  std::map<CustomerId, Account> accounts_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_FORWARD_PREPAID_LEDGER_H_
--- /dev/null
+++ b/src/forward/repeat_allowance.cc
@@ -0,0 +1,47 @@
+#include "src/forward/repeat_allowance.h"
+
+#include <algorithm>
+
+namespace wisteriareel {
+namespace {
+
+// Instances see windows that are shifted against each other, and one that
+// restarts forgets what it sent: part of the limit stays unused.
+constexpr double kUsedShare = 0.6;
+
+}  // namespace
+
+RepeatAllowance::RepeatAllowance(RepeatAllowanceOptions options)
+    : options_(options) {}
+
+void RepeatAllowance::SetInstances(int count) {
+  instances_ = std::max(1, count);
+}
+
+void RepeatAllowance::Forget(std::deque<absl::Time>* times,
+                             absl::Time now) const {
+  while (!times->empty() && times->front() + options_.window <= now) {
+    times->pop_front();
+  }
+}
+
+void RepeatAllowance::NoteRequest(const ServiceId& service, absl::Time now) {
+  Window& window = windows_[service];
+  Forget(&window.requests, now);
+  window.requests.push_back(now);
+}
+
+bool RepeatAllowance::TryTake(const ServiceId& service, absl::Time now) {
+  Window& window = windows_[service];
+  Forget(&window.requests, now);
+  Forget(&window.repeats, now);
+  const double allowed =
+      kUsedShare *
+      (options_.ratio * static_cast<double>(window.requests.size()) +
+       options_.slack / instances_);
+  if (static_cast<double>(window.repeats.size() + 1) > allowed) return false;
+  window.repeats.push_back(now);
+  return true;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/forward/request_router.cc
@@ -0,0 +1,82 @@
+#include "src/forward/request_router.h"
+
+#include <string_view>
+#include <utility>
+
+#include "wisteriareel/stable_hash.h"
+
+namespace wisteriareel {
+namespace {
+
+// Time in which an instance that has just started reads its configuration.
+constexpr absl::Duration kNotLoadedRetryAfter = absl::Milliseconds(500);
+// Time in which an outdated configuration may be replaced.
+constexpr absl::Duration kStaleRetryAfter = absl::Milliseconds(800);
+
+// Returns the service of `route` that gets the request, by weight.
+const ServiceId& ServiceFor(const Route& route, const RequestId& id) {
+  std::uint64_t total = 0;
+  for (const WeightedService& share : route.services) total += share.weight;
+  if (total == 0) return route.services.front().service;
+  std::uint64_t point = StableHash(id.value()) % total;
+  for (const WeightedService& share : route.services) {
+    if (point < share.weight) return share.service;
+    point -= share.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace
+
+RequestRouter::RequestRouter(RequestRouterOptions options)
+    : options_(options) {}
+
+bool RequestRouter::Apply(std::shared_ptr<const RouteTable> table,
+                          absl::Time now) {
+  const bool newer =
+      table_ == nullptr || table_->config().revision < table->config().revision;
+  if (table_ == nullptr ||
+      table_->config().revision <= table->config().revision) {
+    confirmed_ = now;
+  }
+  if (newer) table_ = std::move(table);
+  return newer;
+}
+
+Refusal RequestRouter::Unknown(int status, Reason reason,
+                               absl::Time now) const {
+  if (!Stale(now)) return {.status = status, .reason = reason};
+  return {.status = 503,
+          .reason = Reason::kRevisionStale,
+          .retry_after = kStaleRetryAfter};
+}
+
+std::variant<ExchangeRequest, Refusal> RequestRouter::Admit(
+    const RequestFacts& facts, absl::Time now) const {
+  if (table_ == nullptr) {
+    return Refusal{.status = 503,
+                   .reason = Reason::kConfigNotLoaded,
+                   .retry_after = kNotLoadedRetryAfter};
+  }
+  const std::string_view path =
+      std::string_view(facts.path).substr(0, facts.path.find('?'));
+  const Route* route = table_->FindRoute(facts.host, path);
+  if (route == nullptr) return Unknown(404, Reason::kNotFound, now);
+  ExchangeRequest request{.facts = facts,
+                          .table = table_,
+                          .route = route,
+                          .service = ServiceFor(*route, facts.id),
+                          .arrived = now};
+  const CustomerSpec* customer = table_->FindCustomer(facts.api_key);
+  if (customer != nullptr) {
+    request.customer = customer->id;
+    request.customer_priority = customer->priority;
+  } else if (table_->NeedsKeys() && !route->is_public) {
+    return Unknown(401, Reason::kUnauthenticated, now);
+  }
+  const ServiceSpec* service = table_->FindService(request.service);
+  if (service != nullptr) request.engine = service->engine;
+  return request;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/forward/target_pool.cc
@@ -0,0 +1,277 @@
+#include "src/forward/target_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "wisteriareel/stable_hash.h"
+
+namespace wisteriareel {
+namespace {
+
+// Prompt tokens that an engine reads in a millisecond, for comparing costs
+// only; engines of today read around fifty.
+constexpr double kPrefillTokensPerMs = 50;
+// A request beyond its prompt slows the others at its engine by about this.
+constexpr double kRunningMs = 4;
+// Share of a shared part's tokens that is expected to be read again at the
+// first, the second and any other target of its rank.
+constexpr double kRereadShare[] = {0.0, 0.25, 1.0};
+// Other instances send to the same targets: work seen here stands for more.
+constexpr double kUnseenWork = 2.0;
+// Extra time of a target in another zone.
+constexpr double kOtherZoneMs = 2.0;
+// Observed waiting loses its meaning at this rate.
+constexpr absl::Duration kDelayMemory = absl::Seconds(2);
+constexpr double kDelayWeight = 0.3;
+// Parts sent longer ago than this may have been evicted.
+constexpr absl::Duration kPartMemory = absl::Seconds(30);
+constexpr std::size_t kMaxRememberedParts = 512;
+constexpr double kFailureWeight = 0.25;
+// A target is ejected when it fails this much more often than its peers.
+constexpr double kEjectionMargin = 0.4;
+constexpr absl::Duration kFirstEjection = absl::Milliseconds(800);
+constexpr absl::Duration kLongestEjection = absl::Seconds(6);
+
+double Decayed(double value, absl::Duration age, absl::Duration memory) {
+  if (value == 0) return 0;
+  return value * std::exp(-absl::FDivDuration(age, memory));
+}
+
+}  // namespace
+
+TargetPool::TargetPool(TargetPoolOptions options)
+    : options_(std::move(options)) {}
+
+std::vector<TargetChange> TargetPool::ApplyListing(
+    const std::vector<TargetEntry>& listing, absl::Time now) {
+  using Kind = TargetChange::Kind;
+  std::vector<TargetChange> changes;
+  if (listed_ && now - last_listing_ > options_.listing_gap) {
+    grace_until_ = now + options_.return_grace;
+  }
+  listed_ = true;
+  last_listing_ = now;
+  absl::flat_hash_map<TargetId, const TargetEntry*> by_id;
+  for (const TargetEntry& entry : listing) by_id[entry.id] = &entry;
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    if (by_id.contains(it->first) || now < grace_until_) {
+      ++it;
+      continue;
+    }
+    changes.push_back({.kind = Kind::kGone,
+                       .id = it->first,
+                       .service = it->second.entry.service});
+    it = targets_.erase(it);
+  }
+  for (const TargetEntry& entry : listing) {
+    const auto [it, added] = targets_.try_emplace(entry.id);
+    State& state = it->second;
+    if (added) {
+      changes.push_back(
+          {.kind = Kind::kJoined, .id = entry.id, .service = entry.service});
+    } else if (state.entry.started_ms != entry.started_ms ||
+               state.entry.address != entry.address) {
+      changes.push_back(
+          {.kind = Kind::kRestarted, .id = entry.id, .service = entry.service});
+      const int in_flight = state.in_flight;
+      state = State{};
+      state.in_flight = in_flight;
+    }
+    if (entry.draining && (added || !state.entry.draining)) {
+      changes.push_back(
+          {.kind = Kind::kDraining, .id = entry.id, .service = entry.service});
+    }
+    state.entry = entry;
+  }
+  return changes;
+}
+
+std::vector<TargetPool::State*> TargetPool::Candidates(
+    const PlacementNeed& need, absl::Time now) {
+  std::vector<State*> usable;
+  std::vector<State*> ejected;
+  for (auto& [id, state] : targets_) {
+    if (state.entry.service != need.service || state.entry.draining) continue;
+    if (std::find(need.tried.begin(), need.tried.end(), id) !=
+        need.tried.end()) {
+      continue;
+    }
+    if (state.ejected_until > now) {
+      ejected.push_back(&state);
+    } else if (state.on_trial && state.in_flight > 0) {
+      // One request at a time tells whether the target is back.
+      ejected.push_back(&state);
+    } else {
+      usable.push_back(&state);
+    }
+  }
+  // Ejection never takes the last target.
+  return usable.empty() ? ejected : usable;
+}
+
+double TargetPool::PrefillMs(const State& state, const PlacementNeed& need,
+                             int rank, absl::Time now) const {
+  double reread = kRereadShare[std::min(rank, 2)];
+  const auto it = state.sent_parts.find(need.shared_key);
+  if (it != state.sent_parts.end() && now - it->second < kPartMemory) {
+    reread = 0;
+  }
+  const double tokens =
+      static_cast<double>(need.own_tokens.value()) +
+      reread * static_cast<double>(need.shared_tokens.value());
+  return tokens / kPrefillTokensPerMs;
+}
+
+double TargetPool::Cost(const State& state, const PlacementNeed& need, int rank,
+                        absl::Time now) const {
+  double cost = Decayed(state.delay_ms, now - state.delay_at, kDelayMemory);
+  if (state.entry.zone != options_.zone) cost += kOtherZoneMs;
+  cost += absl::ToDoubleMilliseconds(state.entry.warm_up) * 0.1;
+  if (!need.engine) {
+    const double slots = std::max(1, state.entry.slots);
+    return cost + 100.0 * kUnseenWork * state.in_flight / slots;
+  }
+  cost += PrefillMs(state, need, rank, now);
+  cost +=
+      kUnseenWork * (state.pending_prefill_ms + kRunningMs * state.in_flight);
+  return cost;
+}
+
+std::optional<Placement> TargetPool::Choose(const PlacementNeed& need,
+                                            absl::Time now) {
+  std::vector<State*> candidates = Candidates(need, now);
+  if (candidates.empty()) return std::nullopt;
+  if (!need.shared_key.empty()) {
+    const std::uint64_t seed = StableHash(need.shared_key);
+    std::sort(candidates.begin(), candidates.end(),
+              [seed](const State* a, const State* b) {
+                return StableHash(a->entry.id.value(), seed) >
+                       StableHash(b->entry.id.value(), seed);
+              });
+  }
+  State* best = nullptr;
+  double best_cost = 0;
+  double best_prefill = 0;
+  for (std::size_t n = 0; n < candidates.size(); ++n) {
+    const int rank = need.shared_key.empty() ? 0 : static_cast<int>(n);
+    const double cost = Cost(*candidates[n], need, rank, now);
+    if (best != nullptr && cost >= best_cost) continue;
+    best = candidates[n];
+    best_cost = cost;
+    best_prefill = PrefillMs(*best, need, rank, now);
+  }
+  ++best->in_flight;
+  if (need.engine) {
+    best->pending_prefill_ms += best_prefill;
+    RememberPart(best, need, now);
+  }
+  return Placement{.target = best->entry,
+                   .prefill_ms = need.engine ? best_prefill : 0,
+                   .engine = need.engine};
+}
+
+void TargetPool::RememberPart(State* state, const PlacementNeed& need,
+                              absl::Time now) {
+  if (need.shared_key.empty()) return;
+  if (state->sent_parts.size() >= kMaxRememberedParts) {
+    absl::erase_if(state->sent_parts, [now](const auto& part) {
+      return now - part.second > kPartMemory;
+    });
+  }
+  if (state->sent_parts.size() >= kMaxRememberedParts) {
+    state->sent_parts.clear();
+  }
+  state->sent_parts[need.shared_key] = now;
+}
+
+void TargetPool::Started(Placement* placement, absl::Duration waited,
+                         absl::Time now) {
+  if (placement->started) return;
+  placement->started = true;
+  const auto it = targets_.find(placement->target.id);
+  if (it == targets_.end()) return;
+  State& state = it->second;
+  state.pending_prefill_ms =
+      std::max(0.0, state.pending_prefill_ms - placement->prefill_ms);
+  const double extra =
+      std::max(0.0, absl::ToDoubleMilliseconds(waited) - placement->prefill_ms);
+  const double old =
+      Decayed(state.delay_ms, now - state.delay_at, kDelayMemory);
+  state.delay_ms = old + kDelayWeight * (extra - old);
+  state.delay_at = now;
+}
+
+std::optional<TargetChange> TargetPool::Finish(const Placement& placement,
+                                               TargetOutcome outcome,
+                                               absl::Time now) {
+  const auto it = targets_.find(placement.target.id);
+  if (it == targets_.end()) return std::nullopt;
+  State& state = it->second;
+  if (state.in_flight > 0) --state.in_flight;
+  if (!placement.started) {
+    state.pending_prefill_ms =
+        std::max(0.0, state.pending_prefill_ms - placement.prefill_ms);
+  }
+  if (outcome == TargetOutcome::kAbandoned) return std::nullopt;
+  if (outcome == TargetOutcome::kAnswered) {
+    state.failure *= 1 - kFailureWeight;
+    if (!state.on_trial) return std::nullopt;
+    state.on_trial = false;
+    state.failure = 0;
+    state.next_ejection = kFirstEjection;
+    return TargetChange{.kind = TargetChange::Kind::kBack,
+                        .id = placement.target.id,
+                        .service = placement.target.service};
+  }
+  state.failure += kFailureWeight * (1 - state.failure);
+  const bool unreachable = outcome == TargetOutcome::kUnreachable;
+  if (!unreachable && !state.on_trial &&
+      state.failure < MeanFailure(state.entry.service) + kEjectionMargin) {
+    return std::nullopt;
+  }
+  return Eject(&state, now);
+}
+
+double TargetPool::MeanFailure(const ServiceId& service) const {
+  double sum = 0;
+  int n = 0;
+  for (const auto& [id, state] : targets_) {
+    if (state.entry.service != service) continue;
+    sum += state.failure;
+    ++n;
+  }
+  return n == 0 ? 0 : sum / n;
+}
+
+std::optional<TargetChange> TargetPool::Eject(State* state, absl::Time now) {
+  const bool again = state->on_trial;
+  if (state->next_ejection == absl::ZeroDuration()) {
+    state->next_ejection = kFirstEjection;
+  }
+  // Several requests in flight fail together and count as one.
+  if (state->ejected_until > now) return std::nullopt;
+  state->ejected_until = now + state->next_ejection;
+  state->next_ejection = std::min(kLongestEjection, state->next_ejection * 2);
+  state->on_trial = true;
+  if (again) return std::nullopt;
+  return TargetChange{.kind = TargetChange::Kind::kEjected,
+                      .id = state->entry.id,
+                      .service = state->entry.service};
+}
+
+int TargetPool::CountUsable(const ServiceId& service, absl::Time now) const {
+  int n = 0;
+  for (const auto& [id, state] : targets_) {
+    if (state.entry.service != service || state.entry.draining) continue;
+    if (state.ejected_until <= now) ++n;
+  }
+  return n;
+}
+
+const TargetEntry* TargetPool::Find(const TargetId& id) const {
+  const auto it = targets_.find(id);
+  return it == targets_.end() ? nullptr : &it->second.entry;
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/forward/target_pool.h
@@ -0,0 +1,156 @@
+#ifndef WISTERIAREEL_SRC_FORWARD_TARGET_POOL_H_
+#define WISTERIAREEL_SRC_FORWARD_TARGET_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "src/forward/target_entry.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+// What a request needs of a target.
+struct PlacementNeed {
+  ServiceId service;
+  // Identifies the shared start of the prompt; empty if there is none.
+  std::string shared_key;
+  // Tokens that are read only where the shared start isn't cached.
+  Tokens shared_tokens;
+  // Tokens that are read at any target.
+  Tokens own_tokens;
+  // The service's targets are model engines.
+  bool engine = false;
+  // Targets not to be used again.
+  std::vector<TargetId> tried;
+};
+
+// A request's place at a target, until Finish.
+struct Placement {
+  TargetEntry target;
+  // Expected time of reading the prompt.
+  double prefill_ms = 0;
+  bool engine = false;
+  bool started = false;
+};
+
+// How a try at a target ended, as far as it tells about the target.
+enum class TargetOutcome : std::uint8_t {
+  kAnswered,
+  // It refused to run the request.
+  kShed,
+  // It answered with a failure of its own.
+  kFailed,
+  // It broke off, or sent what is no answer.
+  kBroken,
+  // No connection could be made, or another target has its address.
+  kUnreachable,
+  // The caller left, or time ran out.
+  kAbandoned,
+};
+
+// A change of what this instance believes of a target.
+struct TargetChange {
+  enum class Kind : std::uint8_t {
+    kJoined,
+    kDraining,
+    kRestarted,
+    kGone,
+    kEjected,
+    kBack
+  };
+  Kind kind = Kind::kJoined;
+  TargetId id;
+  ServiceId service;
+
+  friend bool operator==(const TargetChange&, const TargetChange&) = default;
+};
+
+struct TargetPoolOptions {
+  // Zone of this instance.
+  ZoneId zone;
+  // Listings further apart than this mean that the list was away; twice the
+  // polling interval with room for one slow answer.
+  absl::Duration listing_gap = absl::Milliseconds(2000);
+  // Targets that are missing right after the list was away may still come
+  // back for this long; the platform names two seconds.
+  absl::Duration return_grace = absl::Milliseconds(2500);
+};
+
+// The targets of all services: what the platform lists, what this instance
+// saw of each, and the choice among them. Answers these load patterns: shared
+// prompt parts that are read again at every target, a target that fails fast
+// and so looks idle, dark targets, and targets whose zone is far. Not
+// thread-safe.
+class TargetPool {
+ public:
+  explicit TargetPool(TargetPoolOptions options);
+
+  // Takes a whole listing, read from the platform at `now`. Returns what it
+  // changed.
+  std::vector<TargetChange> ApplyListing(
+      const std::vector<TargetEntry>& listing, absl::Time now);
+
+  // Chooses a target and counts the request there. Returns nullopt if no
+  // target can take it.
+  std::optional<Placement> Choose(const PlacementNeed& need, absl::Time now);
+
+  // The target sent the first event or the head of its answer, `waited` after
+  // the request was sent.
+  void Started(Placement* placement, absl::Duration waited, absl::Time now);
+
+  // The request has left the target. Returns the ejection it caused, if any.
+  std::optional<TargetChange> Finish(const Placement& placement,
+                                     TargetOutcome outcome, absl::Time now);
+
+  // Returns true if a listing was applied.
+  bool listed() const { return listed_; }
+
+  // Returns the number of targets of `service` that take requests.
+  int CountUsable(const ServiceId& service, absl::Time now) const;
+
+  // Returns the target's entry while it is known, or null.
+  const TargetEntry* Find(const TargetId& id) const;
+
+ private:
+  struct State {
+    TargetEntry entry;
+    int in_flight = 0;
+    // Prompt reading that this instance still waits for.
+    double pending_prefill_ms = 0;
+    // Smoothed waiting beyond the expected, as of `delay_at`.
+    double delay_ms = 0;
+    absl::Time delay_at = absl::InfinitePast();
+    // Smoothed share of failures, 0 to 1.
+    double failure = 0;
+    absl::Time ejected_until = absl::InfinitePast();
+    absl::Duration next_ejection;
+    // Requests that go to a target just back from ejection.
+    bool on_trial = false;
+    // When this instance last sent a shared part there.
+    absl::flat_hash_map<std::string, absl::Time> sent_parts;
+  };
+
+  double Cost(const State& state, const PlacementNeed& need, int rank,
+              absl::Time now) const;
+  double PrefillMs(const State& state, const PlacementNeed& need, int rank,
+                   absl::Time now) const;
+  std::vector<State*> Candidates(const PlacementNeed& need, absl::Time now);
+  void RememberPart(State* state, const PlacementNeed& need, absl::Time now);
+  std::optional<TargetChange> Eject(State* state, absl::Time now);
+  double MeanFailure(const ServiceId& service) const;
+
+  const TargetPoolOptions options_;
+  bool listed_ = false;
+  absl::Time last_listing_ = absl::InfinitePast();
+  absl::Time grace_until_ = absl::InfinitePast();
+  std::map<TargetId, State> targets_;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_FORWARD_TARGET_POOL_H_
--- /dev/null
+++ b/src/router/router_daemon.cc
@@ -0,0 +1,229 @@
+#include "src/router/router_daemon.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "src/runtime/socket_options.h"
+
+namespace wisteriareel {
+namespace {
+
+// The balancer asks once a second and stops sending after two misses.
+constexpr absl::Duration kBalancerNotice = absl::Milliseconds(3500);
+constexpr absl::Duration kShutdownTick = absl::Milliseconds(50);
+// Left of the grace for closing down whatever is under way.
+constexpr absl::Duration kGraceMargin = absl::Milliseconds(400);
+// Longest wait for the return of unspent tokens at the end.
+constexpr absl::Duration kTokenReturn = absl::Milliseconds(1200);
+constexpr char kMetricsPath[] = "/metrics";
+
+}  // namespace
+
+RouterDaemon::RouterDaemon(RouterSettings settings,
+                           const RouterPlatform& platform,
+                           boost::asio::io_context* io, EventLog* log,
+                           std::function<void()> reload)
+    : settings_(std::move(settings)),
+      io_(io),
+      log_(log),
+      reload_(std::move(reload)),
+      random_(MakeSystemRandom()),
+      scheduler_(io, SystemClock()),
+      pool_({.zone = settings_.instance.zone}),
+      repeats_({.ratio = settings_.repeats.ratio,
+                .slack = settings_.repeats.slack,
+                .window = settings_.repeats.window}),
+      ledger_({.holder = absl::StrCat(settings_.instance.id.value(), "-",
+                                      random_->HexId())}),
+      router_({}),
+      targets_(SystemClock()),
+      services_({.io = io,
+                 .clock = SystemClock(),
+                 .codec = platform.codec,
+                 .router = &router_,
+                 .targets = &targets_,
+                 .exchange = {.pool = &pool_,
+                              .repeats = &repeats_,
+                              .ledger = &ledger_,
+                              .log = log,
+                              .counters = &counters_},
+                 .owner = this}),
+      config_watch_({}, platform.source, &router_, &scheduler_, log,
+                    [this] { OnConfigApplied(); }),
+      target_watch_({}, platform.source, &pool_, &scheduler_, log,
+                    [this](const TargetId& id) { targets_.Drop(id); }),
+      member_watch_(
+          {.self = settings_.instance.id, .address = settings_.listen.peers},
+          platform.table, &scheduler_,
+          [this](int count) { OnInstancesCounted(count); }),
+      ledger_runner_(&ledger_, platform.table, &scheduler_, log,
+                     [this](const CustomerId& id) { OnLedgerChanged(id); }),
+      peer_help_(
+          {}, io, &scheduler_, random_.get(), &router_, &config_watch_,
+          [this] {
+            return !config_watch_.source_answers() ||
+                   !target_watch_.source_answers();
+          },
+          [this] {
+            std::vector<Endpoint> peers = member_watch_.Others();
+            if (peers.empty()) peers = settings_.seeds;
+            std::erase(peers, settings_.listen.peers);
+            return peers;
+          }),
+      ready_server_(io, [this](const std::string&, const std::string&,
+                               const std::string&) { return AnswerReady(); }),
+      peer_server_(io,
+                   [this](const std::string&, const std::string& target,
+                          const std::string&) { return AnswerPeer(target); }),
+      acceptor_(*io),
+      signals_(*io, SIGTERM, SIGINT, SIGHUP) {}
+
+RouterDaemon::~RouterDaemon() = default;
+
+bool RouterDaemon::Start(LastReason* reason) {
+  if (!OpenListener(settings_.listen.callers, &acceptor_, reason) ||
+      !ready_server_.Listen(settings_.listen.ready, reason) ||
+      !peer_server_.Listen(settings_.listen.peers, reason)) {
+    return false;
+  }
+  Accept();
+  WaitForSignal();
+  config_watch_.Start();
+  target_watch_.Start();
+  member_watch_.Start();
+  ledger_runner_.Start();
+  peer_help_.Start();
+  log_->Write(EventId::kDaemonStarted, Severity::kInfo, "router started",
+              {{"instance", settings_.instance.id.value()},
+               {"zone", settings_.instance.zone.value()},
+               {"callers", absl::StrCat(settings_.listen.callers.host, ":",
+                                        settings_.listen.callers.port)}});
+  return true;
+}
+
+void RouterDaemon::Run() { io_->run(); }
+
+void RouterDaemon::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code ec,
+                                boost::asio::ip::tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted) return;
+    if (ec) {
+      // Out of descriptors: those that are open have to end first.
+      scheduler_.After(absl::Milliseconds(20), [this] { Accept(); });
+      return;
+    }
+    const auto connection =
+        std::make_shared<CallerConnection>(services_, std::move(socket));
+    connections_.insert(connection);
+    connection->Start();
+    Accept();
+  });
+}
+
+void RouterDaemon::WaitForSignal() {
+  signals_.async_wait([this](boost::system::error_code ec, int signal) {
+    if (ec) return;
+    if (signal == SIGHUP) {
+      reload_();
+    } else if (!draining_) {
+      BeginShutdown();
+    }
+    WaitForSignal();
+  });
+}
+
+bool RouterDaemon::Ready() const {
+  return !draining_ && router_.table() != nullptr && pool_.listed();
+}
+
+HttpReply RouterDaemon::AnswerReady() const {
+  if (Ready()) return {.status = 200, .body = "ready\n"};
+  return {.status = 503, .body = draining_ ? "draining\n" : "starting\n"};
+}
+
+HttpReply RouterDaemon::AnswerPeer(const std::string& target) {
+  if (target == kMetricsPath) return {.status = 200, .body = counters_.Page()};
+  std::uint64_t revision = 0;
+  const std::string path(kPeerConfigPath);
+  if (!target.starts_with(path) ||
+      !absl::SimpleAtoi(target.substr(path.size()), &revision)) {
+    return {.status = 404};
+  }
+  return {
+      .status = 200,
+      .body = PeerHelp::AnswerConfig(
+          Revision(revision), router_, config_watch_.text().get(),
+          config_watch_.source_answers() && !router_.Stale(scheduler_.Now()))};
+}
+
+void RouterDaemon::OnConfigApplied() {
+  ledger_.SetBudgets(router_.table()->config());
+  ledger_runner_.Poke();
+}
+
+void RouterDaemon::OnInstancesCounted(int count) {
+  repeats_.SetInstances(count);
+  ledger_.SetInstances(count);
+}
+
+void RouterDaemon::OnLedgerChanged(const CustomerId& customer) {
+  const std::vector<std::shared_ptr<CallerConnection>> connections(
+      connections_.begin(), connections_.end());
+  for (const auto& connection : connections) {
+    if (connection->WaitsFor(customer)) connection->OnLedgerChanged();
+  }
+}
+
+void RouterDaemon::OnWaitingForTokens() { ledger_runner_.Poke(); }
+
+void RouterDaemon::OnConnectionClosed(CallerConnection* connection) {
+  connections_.erase(connection->shared_from_this());
+}
+
+bool RouterDaemon::AnyBusy() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& connection) { return connection->busy(); });
+}
+
+void RouterDaemon::BeginShutdown() {
+  draining_ = true;
+  draining_since_ = scheduler_.Now();
+  log_->Write(EventId::kDaemonDraining, Severity::kInfo, "router drains",
+              {{"connections", absl::StrCat(connections_.size())}});
+  member_watch_.Leave();
+  ContinueShutdown();
+}
+
+void RouterDaemon::ContinueShutdown() {
+  const absl::Duration elapsed = scheduler_.Now() - draining_since_;
+  const absl::Duration latest = settings_.shutdown_grace - kGraceMargin;
+  if (elapsed >= kBalancerNotice) {
+    const std::vector<std::shared_ptr<CallerConnection>> connections(
+        connections_.begin(), connections_.end());
+    for (const auto& connection : connections) connection->CloseIfIdle();
+    if (!AnyBusy() || elapsed >= latest - kTokenReturn) {
+      if (!returning_tokens_) ledger_.GiveUp();
+      returning_tokens_ = true;
+      ledger_runner_.Poke();
+    }
+    const bool quiet = !AnyBusy() && ledger_.Settled();
+    if (quiet || elapsed >= latest) {
+      Stop(quiet ? "clean" : "grace over");
+      return;
+    }
+  }
+  scheduler_.After(kShutdownTick, [this] { ContinueShutdown(); });
+}
+
+void RouterDaemon::Stop(std::string_view how) {
+  log_->Write(EventId::kDaemonStopped, Severity::kInfo, "router stopped",
+              {{"how", std::string(how)},
+               {"connections", absl::StrCat(connections_.size())}});
+  io_->stop();
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/runtime/http_caller.cc
@@ -0,0 +1,154 @@
+#include "src/runtime/http_caller.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "boost/asio/steady_timer.hpp"
+#include "boost/asio/write.hpp"
+#include "boost/beast/core/flat_buffer.hpp"
+#include "boost/beast/http/parser.hpp"
+#include "boost/beast/http/read.hpp"
+#include "boost/beast/http/string_body.hpp"
+#include "src/runtime/socket_options.h"
+
+namespace wisteriareel {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Socket = asio::ip::tcp::socket;
+
+constexpr std::size_t kMaxIdle = 4;
+constexpr std::uint64_t kMaxReplyBytes = 64 << 20;
+// The endpoint counts as silent after this; calls that wait on purpose are
+// kept alive by probes.
+constexpr absl::Duration kSilence = absl::Milliseconds(1500);
+
+}  // namespace
+
+struct HttpCaller::Idle {
+  std::vector<std::unique_ptr<Socket>> sockets;
+  bool closed = false;
+};
+
+class HttpCaller::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(asio::io_context* io, const Endpoint& endpoint,
+          std::shared_ptr<Idle> idle, Done done)
+      : io_(io),
+        endpoint_(endpoint),
+        idle_(std::move(idle)),
+        done_(std::move(done)),
+        timer_(*io) {}
+
+  void Start(const Call& call) {
+    request_ = absl::StrCat(
+        call.method, " ", call.target, " HTTP/1.1\r\nHost: ", endpoint_.host,
+        ":", endpoint_.port, "\r\nContent-Length: ", call.body.size(),
+        call.body.empty() ? "" : "\r\nContent-Type: application/json",
+        "\r\n\r\n", call.body);
+    timer_.expires_after(absl::ToChronoMilliseconds(call.timeout));
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (!ec) self->End(std::nullopt);
+    });
+    if (!idle_->sockets.empty()) {
+      socket_ = std::move(idle_->sockets.back());
+      idle_->sockets.pop_back();
+      error_code ec;
+      // A connection with unread bytes, or closed by its peer, is of no use.
+      socket_->non_blocking(true, ec);
+      char byte = 0;
+      socket_->receive(asio::buffer(&byte, 1), Socket::message_peek, ec);
+      if (ec == asio::error::would_block) {
+        Write();
+        return;
+      }
+    }
+    socket_ = std::make_unique<Socket>(*io_);
+    socket_->async_connect(AsioEndpoint(endpoint_),
+                           [self = shared_from_this()](error_code ec) {
+                             if (self->done_ == nullptr) return;
+                             if (ec) {
+                               self->End(std::nullopt);
+                               return;
+                             }
+                             WatchPeer(self->socket_.get(), kSilence);
+                             self->Write();
+                           });
+  }
+
+ private:
+  void Write() {
+    asio::async_write(*socket_, asio::buffer(request_),
+                      [self = shared_from_this()](error_code ec, std::size_t) {
+                        if (self->done_ == nullptr) return;
+                        if (ec) {
+                          self->End(std::nullopt);
+                          return;
+                        }
+                        self->Read();
+                      });
+  }
+
+  void Read() {
+    parser_.body_limit(kMaxReplyBytes);
+    http::async_read(*socket_, buffer_, parser_,
+                     [self = shared_from_this()](error_code ec, std::size_t) {
+                       if (self->done_ == nullptr) return;
+                       if (ec) {
+                         self->End(std::nullopt);
+                         return;
+                       }
+                       self->Succeed();
+                     });
+  }
+
+  void Succeed() {
+    HttpReply reply{.status = static_cast<int>(parser_.get().result_int()),
+                    .body = std::move(parser_.get().body())};
+    const bool keep = parser_.get().keep_alive() && buffer_.size() == 0 &&
+                      !idle_->closed && idle_->sockets.size() < kMaxIdle;
+    if (keep) idle_->sockets.push_back(std::move(socket_));
+    End(std::move(reply));
+  }
+
+  void End(std::optional<HttpReply> reply) {
+    if (done_ == nullptr) return;
+    const Done done = std::exchange(done_, nullptr);
+    timer_.cancel();
+    if (socket_ != nullptr) {
+      error_code ec;
+      socket_->close(ec);
+    }
+    if (!idle_->closed) done(std::move(reply));
+  }
+
+  asio::io_context* const io_;
+  const Endpoint endpoint_;
+  const std::shared_ptr<Idle> idle_;
+  Done done_;
+  asio::steady_timer timer_;
+  std::unique_ptr<Socket> socket_;
+  std::string request_;
+  boost::beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+};
+
+HttpCaller::HttpCaller(asio::io_context* io, Endpoint endpoint)
+    : io_(io),
+      endpoint_(std::move(endpoint)),
+      idle_(std::make_shared<Idle>()) {}
+
+HttpCaller::~HttpCaller() {
+  idle_->closed = true;
+  idle_->sockets.clear();
+}
+
+void HttpCaller::Start(Call call, Done done) {
+  const auto session =
+      std::make_shared<Session>(io_, endpoint_, idle_, std::move(done));
+  session->Start(call);
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/runtime/message_codec.h
@@ -0,0 +1,47 @@
+#ifndef WISTERIAREEL_SRC_RUNTIME_MESSAGE_CODEC_H_
+#define WISTERIAREEL_SRC_RUNTIME_MESSAGE_CODEC_H_
+
+#include <optional>
+
+#include "boost/beast/http/message.hpp"
+#include "src/forward/exchange.h"
+#include "src/forward/request_facts.h"
+#include "wisteriareel/reason.h"
+
+namespace wisteriareel {
+
+using RequestHead = boost::beast::http::request_header<>;
+using AnswerHead = boost::beast::http::response_header<>;
+
+// Translates heads of messages between the wire and the types of the request
+// core. Implementations decide nothing and are thread-safe.
+class MessageCodec {
+ public:
+  virtual ~MessageCodec() = default;
+
+  // Reads a caller's request. Returns nullopt with kMalformed if what it
+  // states can't be read.
+  virtual std::optional<RequestFacts> DecodeRequest(
+      const RequestHead& head, LastReason* reason) const = 0;
+
+  // Returns the head for a target, without framing.
+  virtual RequestHead EncodeRequest(const RequestHead& from_caller,
+                                    const RequestFacts& facts,
+                                    const AttemptOptions& options) const = 0;
+
+  virtual AnswerFacts DecodeAnswer(const AnswerHead& head) const = 0;
+
+  // Returns false if the answer belongs to another request than `id`.
+  virtual bool Answers(const AnswerHead& head, const RequestId& id) const = 0;
+
+  // Returns the head for the caller, without framing.
+  virtual AnswerHead EncodeAnswer(const AnswerHead& from_target) const = 0;
+
+  // Returns the head of an answer of the router's own, without framing.
+  virtual AnswerHead EncodeRefusal(const Refusal& refusal,
+                                   const RequestId& id) const = 0;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_RUNTIME_MESSAGE_CODEC_H_
--- /dev/null
+++ b/src/runtime/small_server.cc
@@ -0,0 +1,121 @@
+#include "src/runtime/small_server.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/time.h"
+#include "boost/asio/steady_timer.hpp"
+#include "boost/asio/write.hpp"
+#include "boost/beast/core/flat_buffer.hpp"
+#include "boost/beast/http/parser.hpp"
+#include "boost/beast/http/read.hpp"
+#include "boost/beast/http/string_body.hpp"
+#include "src/runtime/socket_options.h"
+
+namespace wisteriareel {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Socket = asio::ip::tcp::socket;
+
+constexpr int kBacklog = 512;
+// Whoever asks nothing for this long is disconnected.
+constexpr absl::Duration kIdle = absl::Seconds(20);
+constexpr absl::Duration kSilence = absl::Seconds(3);
+constexpr std::uint64_t kMaxBodyBytes = 1 << 20;
+
+}  // namespace
+
+bool OpenListener(const Endpoint& endpoint, asio::ip::tcp::acceptor* acceptor,
+                  LastReason* reason) {
+  error_code ec;
+  const asio::ip::tcp::endpoint address = AsioEndpoint(endpoint);
+  acceptor->open(address.protocol(), ec);
+  if (!ec) acceptor->set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec) acceptor->bind(address, ec);
+  if (!ec) acceptor->listen(kBacklog, ec);
+  if (!ec) return true;
+  reason->Set(Reason::kUnavailable,
+              absl::StrCat("can't listen on ", endpoint.host, ":",
+                           endpoint.port, ": ", ec.message()));
+  return false;
+}
+
+class SmallServer::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(Socket socket, std::shared_ptr<const Handler> handler)
+      : socket_(std::move(socket)),
+        timer_(socket_.get_executor()),
+        handler_(std::move(handler)) {
+    WatchPeer(&socket_, kSilence);
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(kMaxBodyBytes);
+    timer_.expires_after(absl::ToChronoMilliseconds(kIdle));
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
+      error_code ignored;
+      if (!ec) self->socket_.close(ignored);
+    });
+    http::async_read(socket_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code ec, std::size_t) {
+                       self->timer_.cancel();
+                       if (!ec) self->Answer();
+                     });
+  }
+
+ private:
+  static std::string Text(boost::string_view text) {
+    return std::string(text.data(), text.size());
+  }
+
+  void Answer() {
+    const auto& request = parser_->get();
+    const bool keep = request.keep_alive();
+    const HttpReply reply = (*handler_)(Text(request.method_string()),
+                                        Text(request.target()), request.body());
+    answer_ = absl::StrCat("HTTP/1.1 ", reply.status, " ",
+                           reply.status == 200 ? "OK" : "Unavailable",
+                           "\r\nContent-Length: ", reply.body.size(),
+                           keep ? "" : "\r\nConnection: close", "\r\n\r\n",
+                           reply.body);
+    asio::async_write(
+        socket_, asio::buffer(answer_),
+        [self = shared_from_this(), keep](error_code ec, std::size_t) {
+          if (!ec && keep) self->Read();
+        });
+  }
+
+  Socket socket_;
+  asio::steady_timer timer_;
+  const std::shared_ptr<const Handler> handler_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::string answer_;
+};
+
+SmallServer::SmallServer(asio::io_context* io, Handler handler)
+    : io_(io),
+      handler_(std::make_shared<const Handler>(std::move(handler))),
+      acceptor_(*io) {}
+
+SmallServer::~SmallServer() = default;
+
+bool SmallServer::Listen(const Endpoint& endpoint, LastReason* reason) {
+  if (!OpenListener(endpoint, &acceptor_, reason)) return false;
+  Accept();
+  return true;
+}
+
+void SmallServer::Accept() {
+  acceptor_.async_accept([this](error_code ec, Socket socket) {
+    if (ec == asio::error::operation_aborted) return;
+    if (!ec) std::make_shared<Session>(std::move(socket), handler_)->Read();
+    Accept();
+  });
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/runtime/socket_options.cc
@@ -0,0 +1,44 @@
+#include "src/runtime/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace wisteriareel {
+namespace {
+
+// Probes that go unanswered before the connection is given up.
+constexpr int kProbes = 2;
+
+void SetOption(int fd, int option, int value) {
+  setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+void WatchPeer(boost::asio::ip::tcp::socket* socket, absl::Duration silence) {
+  boost::system::error_code ec;
+  socket->set_option(boost::asio::ip::tcp::no_delay(true), ec);
+  socket->set_option(boost::asio::socket_base::keep_alive(true), ec);
+  const int fd = socket->native_handle();
+  const int seconds = std::max<int>(
+      1, static_cast<int>(absl::ToInt64Seconds(silence)) / (kProbes + 1));
+  SetOption(fd, TCP_KEEPIDLE, seconds);
+  SetOption(fd, TCP_KEEPINTVL, seconds);
+  SetOption(fd, TCP_KEEPCNT, kProbes);
+  SetOption(fd, TCP_USER_TIMEOUT,
+            static_cast<int>(absl::ToInt64Milliseconds(silence)));
+}
+
+void ResetOnClose(boost::asio::ip::tcp::socket* socket) {
+  boost::system::error_code ec;
+  socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
+}
+
+boost::asio::ip::tcp::endpoint AsioEndpoint(const Endpoint& endpoint) {
+  boost::system::error_code ec;
+  return {boost::asio::ip::make_address(endpoint.host, ec), endpoint.port};
+}
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/runtime/target_connections.cc
@@ -0,0 +1,67 @@
+#include "src/runtime/target_connections.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriareel {
+namespace {
+
+// More idle connections to one target than this are closed.
+constexpr std::size_t kMaxIdle = 16;
+
+}  // namespace
+
+TargetConnections::TargetConnections(Clock* clock)
+    : clock_(clock), alive_(std::make_shared<bool>(true)) {}
+
+TargetConnections::~TargetConnections() { *alive_ = false; }
+
+std::unique_ptr<boost::asio::ip::tcp::socket> TargetConnections::Take(
+    const TargetId& target) {
+  const auto it = idle_.find(target);
+  if (it == idle_.end()) return nullptr;
+  const absl::Time now = clock_->Now();
+  while (!it->second.empty()) {
+    // The newest one is the least likely to be closed by its target.
+    const std::shared_ptr<Idle> idle = it->second.back();
+    it->second.pop_back();
+    boost::system::error_code ec;
+    idle->socket->cancel(ec);
+    if (ec || idle->until <= now || idle->socket->available(ec) > 0 || ec) {
+      idle->socket->close(ec);
+      continue;
+    }
+    return std::move(idle->socket);
+  }
+  return nullptr;
+}
+
+void TargetConnections::Keep(
+    const TargetId& target,
+    std::unique_ptr<boost::asio::ip::tcp::socket> socket,
+    absl::Duration idle_time) {
+  IdleList& list = idle_[target];
+  if (list.size() >= kMaxIdle) list.pop_front();
+  auto idle = std::make_shared<Idle>();
+  idle->socket = std::move(socket);
+  idle->until = clock_->Now() + idle_time;
+  list.push_back(idle);
+  Watch(target, idle);
+}
+
+void TargetConnections::Watch(const TargetId& target,
+                              const std::shared_ptr<Idle>& idle) {
+  const std::weak_ptr<Idle> weak = idle;
+  idle->socket->async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [this, alive = alive_, target, weak](boost::system::error_code ec) {
+        const std::shared_ptr<Idle> idle = weak.lock();
+        if (ec || !*alive || idle == nullptr) return;
+        const auto it = idle_.find(target);
+        if (it != idle_.end()) it->second.remove(idle);
+      });
+}
+
+void TargetConnections::Drop(const TargetId& target) { idle_.erase(target); }
+
+}  // namespace wisteriareel
--- /dev/null
+++ b/src/runtime/target_link.cc
@@ -0,0 +1,234 @@
+#include "src/runtime/target_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/time.h"
+#include "boost/asio/buffer.hpp"
+#include "boost/asio/write.hpp"
+#include "src/runtime/socket_options.h"
+
+namespace wisteriareel {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// A target that is up accepts within a round trip; a lost packet costs more.
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(350);
+// A target that acknowledges nothing for this long is taken as gone.
+constexpr absl::Duration kSilence = absl::Milliseconds(1500);
+constexpr std::size_t kReadBytes = 16 << 10;
+constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+constexpr std::uint64_t kMaxBodyBytes = 256 << 20;
+// Idle time of a target that names none.
+constexpr absl::Duration kDefaultIdle = absl::Seconds(3);
+// A connection isn't used this shortly before its target closes it.
+constexpr absl::Duration kIdleMargin = absl::Milliseconds(700);
+
+// Returns how long the target keeps an idle connection.
+absl::Duration IdleTime(const AnswerHead& head) {
+  const boost::string_view value = head[http::field::keep_alive];
+  for (const absl::string_view entry :
+       absl::StrSplit(absl::string_view(value.data(), value.size()), ',')) {
+    const std::vector<std::string> fields =
+        absl::StrSplit(absl::StripAsciiWhitespace(entry), '=');
+    int seconds = 0;
+    if (fields.size() == 2 && fields[0] == "timeout" &&
+        absl::SimpleAtoi(fields[1], &seconds)) {
+      return absl::Seconds(seconds) - kIdleMargin;
+    }
+  }
+  return kDefaultIdle;
+}
+
+}  // namespace
+
+TargetLink::TargetLink(asio::io_context* io, TargetConnections* connections,
+                       const MessageCodec* codec, TargetLinkObserver* observer)
+    : io_(io),
+      connections_(connections),
+      codec_(codec),
+      observer_(observer),
+      connect_timer_(*io) {}
+
+TargetLink::~TargetLink() = default;
+
+void TargetLink::Start(Request request) {
+  request_ = std::move(request);
+  NewParser();
+  if (!request_.fresh_connection) {
+    socket_ = connections_->Take(request_.target);
+  }
+  if (socket_ != nullptr) {
+    // The caller of Start expects no event from within.
+    asio::post(*io_, [self = shared_from_this()] {
+      if (self->observer_ != nullptr) self->Write();
+    });
+    return;
+  }
+  Connect();
+}
+
+void TargetLink::Connect() {
+  socket_ = std::make_unique<asio::ip::tcp::socket>(*io_);
+  connect_timer_.expires_after(absl::ToChronoMilliseconds(kConnectTimeout));
+  connect_timer_.async_wait([self = shared_from_this()](error_code ec) {
+    if (!ec) self->CloseSocket();
+  });
+  socket_->async_connect(AsioEndpoint(request_.address),
+                         [self = shared_from_this()](error_code ec) {
+                           self->connect_timer_.cancel();
+                           if (self->observer_ == nullptr) return;
+                           if (ec || !self->socket_->is_open()) {
+                             TargetLinkObserver* observer =
+                                 std::exchange(self->observer_, nullptr);
+                             self->CloseSocket();
+                             observer->OnLinkUnreachable();
+                             return;
+                           }
+                           WatchPeer(self->socket_.get(), kSilence);
+                           self->Write();
+                         });
+}
+
+void TargetLink::Write() {
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(request_.head), asio::buffer(*request_.body)};
+  asio::async_write(*socket_, buffers,
+                    [self = shared_from_this()](error_code ec, std::size_t) {
+                      // A failed write shows in the read as well.
+                      if (!ec) self->written_ = true;
+                    });
+  Read();
+}
+
+void TargetLink::NewParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(kMaxBodyBytes);
+  if (request_.head_only) parser_->skip(true);
+  head_seen_ = false;
+  foreign_ = false;
+}
+
+void TargetLink::Read() {
+  if (reading_ || paused_ || observer_ == nullptr) return;
+  reading_ = true;
+  socket_->async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](error_code ec, std::size_t n) {
+        self->reading_ = false;
+        if (self->observer_ != nullptr) self->OnRead(ec, n);
+      });
+}
+
+void TargetLink::OnRead(const error_code& ec, std::size_t n) {
+  buffer_.commit(n);
+  if (ec == asio::error::eof) {
+    eof_ = true;
+  } else if (ec) {
+    Fail();
+    return;
+  }
+  Parse();
+}
+
+// Returns false if the link has ended.
+bool TargetLink::TakeHead() {
+  head_seen_ = true;
+  const AnswerHead& head = parser_->get().base();
+  if (head.result_int() >= 100 && head.result_int() < 200) {
+    foreign_ = true;
+    return true;
+  }
+  if (!codec_->Answers(head, request_.id)) {
+    // A late answer to an earlier request on this connection.
+    foreign_ = true;
+    return true;
+  }
+  observer_->OnLinkHead(head);
+  return observer_ != nullptr;
+}
+
+void TargetLink::Parse() {
+  const std::shared_ptr<TargetLink> self = shared_from_this();
+  for (;;) {
+    error_code ec;
+    const std::size_t used =
+        buffer_.size() > 0 ? parser_->put(buffer_.data(), ec) : 0;
+    buffer_.consume(used);
+    if (ec == http::error::need_more) ec = {};
+    if (!ec && eof_ && buffer_.size() == 0 && !parser_->is_done() &&
+        parser_->got_some()) {
+      parser_->put_eof(ec);
+    }
+    if (ec) {
+      Fail();
+      return;
+    }
+    if (parser_->is_header_done() && !head_seen_ && !TakeHead()) return;
+    std::string body = std::exchange(parser_->get().body(), {});
+    if (!body.empty() && !foreign_) {
+      observer_->OnLinkBody(body);
+      if (observer_ == nullptr) return;
+    }
+    if (parser_->is_done()) {
+      if (!foreign_) {
+        Complete();
+        return;
+      }
+      NewParser();
+      if (buffer_.size() > 0) continue;
+    }
+    if (eof_) {
+      Fail();
+      return;
+    }
+    if (used > 0 && buffer_.size() > 0 && !parser_->is_header_done()) continue;
+    Read();
+    return;
+  }
+}
+
+void TargetLink::Complete() {
+  TargetLinkObserver* observer = std::exchange(observer_, nullptr);
+  const bool reusable = parser_->get().keep_alive() && written_ && !eof_ &&
+                        buffer_.size() == 0 && !reading_;
+  const absl::Duration idle = IdleTime(parser_->get().base());
+  if (reusable && idle > absl::ZeroDuration()) {
+    connections_->Keep(request_.target, std::move(socket_), idle);
+  } else {
+    CloseSocket();
+  }
+  observer->OnLinkEnd();
+}
+
+void TargetLink::Fail() {
+  TargetLinkObserver* observer = std::exchange(observer_, nullptr);
+  CloseSocket();
+  if (observer != nullptr) observer->OnLinkBroken();
+}
+
+void TargetLink::Cancel() {
+  observer_ = nullptr;
+  connect_timer_.cancel();
+  CloseSocket();
+}
+
+void TargetLink::Resume() {
+  paused_ = false;
+  if (socket_ != nullptr && parser_.has_value()) Read();
+}
+
+void TargetLink::CloseSocket() {
+  if (socket_ == nullptr) return;
+  error_code ec;
+  socket_->close(ec);
+}
+
+}  // namespace wisteriareel
--- a/src/settings/object_reader.h
+++ b/src/settings/object_reader.h
@@ -54,17 +54,14 @@
   template <typename T>
   void RequiredList(const std::string& name, std::vector<T>* out,
                     void (*read)(ObjectReader*, T*)) {
-    const nlohmann::json* field = Find(name, "a list of objects", true);
-    if (field == nullptr) return;
-    if (!field->is_array() || field->empty()) {
-      Report(PathOf(name), "a list of at least one object", Describe(*field));
-      return;
-    }
-    for (std::size_t n = 0; n < field->size(); ++n) {
-      ObjectReader reader((*field)[n], absl::StrCat(PathOf(name), "[", n, "]"),
-                          problems_);
-      read(&reader, &out->emplace_back());
-    }
+    ReadList(name, out, read, /*required=*/true);
+  }
+
+  // Reads a list of objects that may be empty or missing.
+  template <typename T>
+  void OptionalList(const std::string& name, std::vector<T>* out,
+                    void (*read)(ObjectReader*, T*)) {
+    ReadList(name, out, read, /*required=*/false);
   }
 
   // Reports a problem that a check of single fields can't see.
@@ -104,6 +101,24 @@
     read(&reader, out);
   }
 
+  template <typename T>
+  void ReadList(const std::string& name, std::vector<T>* out,
+                void (*read)(ObjectReader*, T*), bool required) {
+    const nlohmann::json* field = Find(name, "a list of objects", required);
+    if (field == nullptr) return;
+    if (!field->is_array() || (required && field->empty())) {
+      Report(PathOf(name),
+             required ? "a list of at least one object" : "a list of objects",
+             Describe(*field));
+      return;
+    }
+    for (std::size_t n = 0; n < field->size(); ++n) {
+      ObjectReader reader((*field)[n], absl::StrCat(PathOf(name), "[", n, "]"),
+                          problems_);
+      read(&reader, &out->emplace_back());
+    }
+  }
+
   const nlohmann::json& value_;
   const std::string path_;
   std::vector<SettingsProblem>* const problems_;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,13 +1,9 @@
 #include "src/settings/settings.h"
 
-#include <fstream>
-#include <sstream>
-
-#include "absl/container/flat_hash_set.h"
-#include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
 #include "src/settings/object_reader.h"
 #include "src/settings/settings_checks.h"
+#include "src/settings/settings_file.h"
 
 // One line per field: its name, what it accepts and where it goes.
 namespace wisteriareel {
@@ -198,55 +194,17 @@
   CheckTls(reader, "platform", out->tls.platform, /*listener=*/false);
 }
 
-// Reports names that stand twice in one object, of which the parser would
-// silently keep the last.
-class DuplicateFinder {
- public:
-  explicit DuplicateFinder(std::vector<SettingsProblem>* problems)
-      : problems_(problems) {}
-
-  bool operator()(int /*depth*/, nlohmann::json::parse_event_t event,
-                  const nlohmann::json& value) {
-    using Event = nlohmann::json::parse_event_t;
-    if (event == Event::object_start) open_.emplace_back();
-    if (event == Event::object_end) open_.pop_back();
-    if (event == Event::key) {
-      const auto& name = value.get_ref<const std::string&>();
-      if (!open_.back().insert(name).second) {
-        problems_->push_back({absl::StrCat("$..", name), "each name once",
-                              "the same name twice in one object"});
-      }
-    }
-    return true;
-  }
-
- private:
-  std::vector<SettingsProblem>* const problems_;
-  std::vector<absl::flat_hash_set<std::string>> open_;
-};
-
 }  // namespace
 }  // namespace settings
 
 std::optional<Settings> ParseSettings(std::string_view text,
                                       std::vector<SettingsProblem>* problems) {
-  nlohmann::json root;
-  settings::DuplicateFinder duplicates(problems);
-  try {
-    root = nlohmann::json::parse(
-        text,
-        [&](int depth, nlohmann::json::parse_event_t event,
-            nlohmann::json& value) { return duplicates(depth, event, value); },
-        /*allow_exceptions=*/true, /*ignore_comments=*/true);
-  } catch (const nlohmann::json::parse_error& error) {
-    // The parser's text would show a piece of the file, perhaps a secret.
-    problems->push_back({"$", "JSON with comments",
-                         absl::StrCat("an error at byte ", error.byte)});
-    return std::nullopt;
-  }
+  const std::optional<nlohmann::json> root =
+      settings::ParseSettingsJson(text, problems);
+  if (!root.has_value()) return std::nullopt;
   Settings settings;
   {
-    settings::ObjectReader reader(root, "$", problems);
+    settings::ObjectReader reader(*root, "$", problems);
     settings::ReadSettings(&reader, &settings);
   }
   if (!problems->empty()) return std::nullopt;
@@ -255,13 +213,10 @@
 
 std::optional<Settings> LoadSettings(const std::string& path,
                                      std::vector<SettingsProblem>* problems) {
-  std::ifstream file(path);
-  std::stringstream text;
-  if (!file || !(text << file.rdbuf())) {
-    problems->push_back({"$", "a readable file", path});
-    return std::nullopt;
-  }
-  return ParseSettings(text.str(), problems);
+  const std::optional<std::string> text =
+      settings::ReadSettingsFile(path, problems);
+  if (!text.has_value()) return std::nullopt;
+  return ParseSettings(*text, problems);
 }
 
 }  // namespace wisteriareel
--- a/src/settings/settings_checks.cc
+++ b/src/settings/settings_checks.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
 
 namespace wisteriareel::settings {
 namespace {
@@ -48,6 +49,33 @@
   });
 }
 
+bool HostAndPort::Parse(const nlohmann::json& value, Endpoint* out) const {
+  std::string text;
+  if (!ParseText(value, &text, [](const std::string&) { return true; })) {
+    return false;
+  }
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  in_addr buf{};
+  std::uint32_t port = 0;
+  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &buf) != 1 ||
+      !absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 ||
+      port > UINT16_MAX) {
+    return false;
+  }
+  *out = {.host = text.substr(0, colon),
+          .port = static_cast<std::uint16_t>(port)};
+  return true;
+}
+
+bool Number::Parse(const nlohmann::json& value, double* out) const {
+  if (!value.is_number()) return false;
+  const auto number = value.get<double>();
+  if (!(number >= least && number <= most)) return false;
+  *out = number;
+  return true;
+}
+
 bool Secret::Parse(const nlohmann::json& value, std::string* out) const {
   return ParseText(value, out, [this](const std::string& text) {
     return text.size() >= least;
--- a/src/settings/settings_checks.h
+++ b/src/settings/settings_checks.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "nlohmann/json.hpp"
 #include "wisteriareel/strong_string.h"
+#include "wisteriareel/types.h"
 
 // Checks of single settings. Each has Expectation(), which says in words what
 // it accepts, and Parse(), which returns whether the JSON value fits and then
@@ -90,6 +91,26 @@
   bool Parse(const nlohmann::json& value, std::string* out) const;
 };
 
+// An IP number of version 4 and a port, as in "10.0.0.1:80".
+struct HostAndPort {
+  static constexpr bool kSecret = false;
+
+  std::string Expectation() const { return "an IP number and port, IP:PORT"; }
+  bool Parse(const nlohmann::json& value, Endpoint* out) const;
+};
+
+// A number from `least` to `most`.
+struct Number {
+  static constexpr bool kSecret = false;
+  double least = 0;
+  double most = 0;
+
+  std::string Expectation() const {
+    return absl::StrCat("a number from ", least, " to ", most);
+  }
+  bool Parse(const nlohmann::json& value, double* out) const;
+};
+
 // A secret of at least `least` characters.
 struct Secret {
   static constexpr bool kSecret = true;
