Hold less, lend between instances, and size grants by what is left

A target kept after the store's return reached a server 3.4 s after it had left (DRAIN). Conclusion: moving tokens to the request beats any static size.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -25,6 +25,7 @@
   kRecordsWait = 1201,
   kHolderReclaimed = 1202,
   kBudgetOrderEnded = 1203,
+  kTokensBorrowed = 1204,
   // 1300-1399 request.
   kClaimInDoubt = 1300,
   kClaimReleasePending = 1301,
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -8,9 +8,9 @@
 namespace wisteriareel {
 namespace {
 
-// Longest wait for tokens from the platform: a few of its calls, one of them
-// repeated.
-constexpr absl::Duration kBudgetWait = absl::Milliseconds(400);
+// Least wait for tokens from the platform: a few of its calls, one of them
+// repeated. Callers that expect less than their objective wait that long.
+constexpr absl::Duration kLeastBudgetWait = absl::Milliseconds(400);
 // A body up to this size is kept until it is whole, so that a broken answer
 // can still be replaced.
 constexpr std::size_t kMaxKeptBody = 256 << 10;
@@ -363,7 +363,11 @@
 
 void Exchange::SetTimer(absl::Time now) {
   absl::Time when = Deadline();
-  if (phase_ == Phase::kBudget) when = std::min(when, now + kBudgetWait);
+  if (phase_ == Phase::kBudget) {
+    when =
+        std::min(when, request_.arrived + std::max(kLeastBudgetWait,
+                                                   request_.route->objective));
+  }
   if (phase_ == Phase::kSent || phase_ == Phase::kAnswering) {
     if (request_.route->Repeatable() && sends_ < request_.route->attempts) {
       when = std::min(when, heard_at_ + SilenceLimit());
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -18,15 +18,25 @@
 // An order is due when less than this share of the target is free.
 constexpr double kRefillShare = 0.6;
 // An instance that has seen no request holds this share of its even part.
-constexpr int kIdleShare = 40;
-// What is left of a pool is handed out in halves, so that one instance never
-// takes the last of it.
-constexpr int kPoolDivisor = 2;
+constexpr int kIdleShare = 8;
+// All instances together hold at most one part in this many of what is left in
+// the pool, beside what is reserved: what is held elsewhere is of no use to a
+// request here, and what a killed instance held is lost. A scarce budget is
+// so granted request by request.
+constexpr int kPoolDivisor = 1;
+// Less than one part in this many of a budget isn't worth an order to return
+// it.
+constexpr int kCrumbDivisor = 1000;
 // Settled tokens are reported at least this often, so that others can tell an
 // exhausted budget from one that is held elsewhere.
 constexpr absl::Duration kReportInterval = absl::Seconds(2);
 // A pool found empty is asked again after this time.
-constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(700);
+constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(400);
+// Others are asked again this long after they couldn't lend enough.
+constexpr absl::Duration kLoanInterval = absl::Milliseconds(400);
+// A lender keeps what it needs for this time; a borrower asks for as much.
+constexpr absl::Duration kLenderReserve = absl::Milliseconds(1500);
+constexpr absl::Duration kBorrowAhead = absl::Milliseconds(1500);
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
 constexpr absl::Duration kLongestBackoff = absl::Seconds(1);
 
@@ -88,7 +98,6 @@
   Account& account = accounts_[customer];
   if (!account.prepaid.has_value()) return ReserveResult::kReserved;
   const std::int64_t amount = most.value();
-  account.last_request = amount;
   if (FreeOf(account) >= amount) {
     account.reserved += amount;
     NoteUse(&account, amount, now);
@@ -101,12 +110,20 @@
       return ReserveResult::kExhausted;
     }
   }
-  account.wanted = std::max(account.wanted, amount);
-  if (account.platform_away) return ReserveResult::kPlatformAway;
-  if (account.pool_known && account.next_order > now) {
-    return ReserveResult::kHeldElsewhere;
+  account.wanted += amount;
+  account.least_wanted = account.least_wanted == 0
+                             ? amount
+                             : std::min(account.least_wanted, amount);
+  if (!account.platform_away && !account.pool_empty) {
+    return ReserveResult::kWait;
   }
-  return ReserveResult::kWait;
+  if (account.loan_in_flight) return ReserveResult::kWait;
+  if (account.next_loan <= now) {
+    account.loan_wanted = true;
+    return ReserveResult::kWait;
+  }
+  return account.platform_away ? ReserveResult::kPlatformAway
+                               : ReserveResult::kHeldElsewhere;
 }
 
 void PrepaidLedger::Settle(const CustomerId& customer, Tokens most, Tokens used,
@@ -120,23 +137,25 @@
   account.changed_at = now;
 }
 
+double PrepaidLedger::RateOf(const Account& account, absl::Time now) const {
+  if (account.rate_at == absl::InfinitePast()) return 0;
+  return account.recent *
+         std::exp(-absl::FDivDuration(now - account.rate_at, kRateMemory)) /
+         absl::ToDoubleSeconds(kRateMemory);
+}
+
 std::int64_t PrepaidLedger::TargetOf(const Account& account,
                                      absl::Time now) const {
   if (giving_up_) return 0;
   const std::int64_t prepaid = account.prepaid->value();
   const std::int64_t available = prepaid - account.pool.granted;
-  double rate = 0;
-  if (account.rate_at != absl::InfinitePast()) {
-    rate = account.recent *
-           std::exp(-absl::FDivDuration(now - account.rate_at, kRateMemory)) /
-           absl::ToDoubleSeconds(kRateMemory);
-  }
-  const double by_rate = rate * absl::ToDoubleSeconds(options_.horizon);
-  std::int64_t target = static_cast<std::int64_t>(by_rate);
-  if (available > prepaid / 2) {
-    target = std::max(target, prepaid / (kIdleShare * instances_));
-  }
-  return target;
+  const double by_rate =
+      RateOf(account, now) * absl::ToDoubleSeconds(options_.horizon);
+  const std::int64_t target = std::max(static_cast<std::int64_t>(by_rate),
+                                       prepaid / (kIdleShare * instances_));
+  return std::clamp<std::int64_t>(
+      target, 0,
+      std::max<std::int64_t>(0, available) / (kPoolDivisor * instances_));
 }
 
 std::int64_t PrepaidLedger::PlanGrant(const Account& account,
@@ -151,12 +170,12 @@
   if (static_cast<double>(free) < kRefillShare * static_cast<double>(target)) {
     grant = target - free;
   }
-  grant = std::min(grant, available / (kPoolDivisor * instances_));
-  grant = std::max(grant, account.wanted - free);
-  if (grant > available) {
-    // Part of what a request needs is of no use here.
-    grant = 0;
+  if (account.wanted > free) {
+    grant += account.wanted - std::max<std::int64_t>(0, free);
   }
+  grant = std::min(grant, available);
+  // Part of what a request needs is of no use here.
+  if (free + grant < account.least_wanted) return 0;
   return std::max<std::int64_t>(0, grant);
 }
 
@@ -164,10 +183,11 @@
                                        absl::Time now) const {
   const std::int64_t free = FreeOf(account);
   if (giving_up_) return std::max<std::int64_t>(0, free);
+  if (account.wanted > 0) return 0;
   const std::int64_t target = TargetOf(account, now);
-  const std::int64_t keep = std::max(2 * target, 2 * account.last_request);
-  if (free <= keep) return 0;
-  return free - std::max(target, account.last_request);
+  const std::int64_t spare = free - target;
+  const std::int64_t crumb = account.prepaid->value() / kCrumbDivisor;
+  return spare > std::max(target, crumb) ? spare : 0;
 }
 
 std::optional<PartTransaction> PrepaidLedger::Plan(const CustomerId& id,
@@ -260,10 +280,10 @@
   account.next_order = now;
   const std::int64_t available =
       account.prepaid.value_or(Tokens(0)).value() - account.pool.granted;
-  if (account.wanted - FreeOf(account) > available) {
-    account.next_order = now + kEmptyPoolInterval;
-  }
+  account.pool_empty = account.least_wanted - FreeOf(account) > available;
+  if (account.pool_empty) account.next_order = now + kEmptyPoolInterval;
   account.wanted = 0;
+  account.least_wanted = 0;
 }
 
 bool PrepaidLedger::Settled() const {
@@ -282,6 +302,17 @@
   return it == accounts_.end() ? Tokens(0) : Tokens(FreeOf(it->second));
 }
 
+PrepaidLedger::View PrepaidLedger::ViewOf(const CustomerId& customer) const {
+  const auto it = accounts_.find(customer);
+  if (it == accounts_.end()) return {};
+  const Account& account = it->second;
+  return {.prepaid = account.prepaid.value_or(Tokens(0)),
+          .granted = Tokens(account.pool.granted),
+          .settled = Tokens(account.pool.settled),
+          .held_here = Tokens(account.own.granted - account.settled),
+          .reserved_here = Tokens(account.reserved)};
+}
+
 Tokens PrepaidLedger::Lend(const CustomerId& customer, Tokens wanted,
                            absl::Time now) {
   const auto it = accounts_.find(customer);
@@ -289,15 +320,43 @@
     return Tokens(0);
   }
   Account& account = it->second;
-  const std::int64_t spare = FreeOf(account) - TargetOf(account, now) / 2;
+  const auto own_need = static_cast<std::int64_t>(
+      RateOf(account, now) * absl::ToDoubleSeconds(kLenderReserve));
+  const std::int64_t spare = FreeOf(account) - own_need;
   const std::int64_t amount = std::clamp<std::int64_t>(
       spare, 0, std::max<std::int64_t>(0, wanted.value()));
   account.lent += amount;
   return Tokens(amount);
 }
 
+std::vector<LoanRequest> PrepaidLedger::TakeLoanRequests(absl::Time now) {
+  std::vector<LoanRequest> requests;
+  for (auto& [id, account] : accounts_) {
+    if (!account.loan_wanted || account.loan_in_flight) continue;
+    account.loan_wanted = false;
+    account.loan_in_flight = true;
+    const auto ahead = static_cast<std::int64_t>(
+        RateOf(account, now) * absl::ToDoubleSeconds(kBorrowAhead));
+    requests.push_back(
+        {.customer = id,
+         .amount = Tokens(account.wanted + ahead -
+                          std::max<std::int64_t>(0, FreeOf(account)))});
+  }
+  return requests;
+}
+
 void PrepaidLedger::Borrow(const CustomerId& customer, Tokens amount) {
   accounts_[customer].lent -= amount.value();
 }
 
+void PrepaidLedger::CompleteLoan(const CustomerId& customer, absl::Time now) {
+  Account& account = accounts_[customer];
+  account.loan_in_flight = false;
+  account.next_loan = account.least_wanted > FreeOf(account)
+                          ? now + kLoanInterval
+                          : absl::InfinitePast();
+  account.wanted = 0;
+  account.least_wanted = 0;
+}
+
 }  // namespace wisteriareel
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -17,7 +17,7 @@
 // Whether tokens could be set aside for a request.
 enum class ReserveResult : std::uint8_t {
   kReserved,
-  // The platform has to be asked first; worth waiting for.
+  // The platform or other instances have to be asked first; worth waiting for.
   kWait,
   // What the customer has left doesn't cover the request.
   kExhausted,
@@ -35,6 +35,14 @@
   absl::Duration horizon = absl::Seconds(8);
 };
 
+// Tokens that other instances are asked to lend.
+struct LoanRequest {
+  CustomerId customer;
+  Tokens amount;
+
+  friend bool operator==(const LoanRequest&, const LoanRequest&) = default;
+};
+
 // A transaction to be sent for a customer.
 struct LedgerOrder {
   CustomerId customer;
@@ -84,13 +92,33 @@
   // Returns what could be reserved for `customer` now.
   Tokens Free(const CustomerId& customer) const;
 
+  // Returns what is known of the customer's budget, for logs.
+  struct View {
+    Tokens prepaid;
+    Tokens granted;
+    Tokens settled;
+    Tokens held_here;
+    Tokens reserved_here;
+
+    friend bool operator==(const View&, const View&) = default;
+  };
+  View ViewOf(const CustomerId& customer) const;
+
   // Takes up to `wanted` tokens out of this ledger for another instance,
-  // leaving enough for what this one serves itself. Returns the amount.
+  // leaving what this one needs itself within the next moments. Returns the
+  // amount. A loan whose answer is lost stays out of use.
   Tokens Lend(const CustomerId& customer, Tokens wanted, absl::Time now);
 
+  // Returns the loans that are wanted. Each must be answered by any number of
+  // Borrow and one CompleteLoan.
+  std::vector<LoanRequest> TakeLoanRequests(absl::Time now);
+
   // Adds tokens lent by another instance.
   void Borrow(const CustomerId& customer, Tokens amount);
 
+  // All instances that were asked have answered, or were waited for.
+  void CompleteLoan(const CustomerId& customer, absl::Time now);
+
  private:
   struct Totals {
     std::int64_t granted = 0;
@@ -111,9 +139,9 @@
     std::int64_t lent = 0;
     // Given back by an order whose outcome isn't known.
     std::int64_t returning = 0;
-    // Worst case of the largest request that waits.
+    // Worst cases of the requests that wait: their sum and the smallest.
     std::int64_t wanted = 0;
-    std::int64_t last_request = 0;
+    std::int64_t least_wanted = 0;
     // Decayed sum of reservations, as of `rate_at`.
     double recent = 0;
     absl::Time rate_at = absl::InfinitePast();
@@ -122,11 +150,19 @@
     absl::Time next_order = absl::InfinitePast();
     absl::Duration backoff;
     bool platform_away = false;
+    // The pool was found too small for what waits.
+    bool pool_empty = false;
+    bool loan_wanted = false;
+    bool loan_in_flight = false;
+    // The last loans didn't suffice; no others are asked for until then.
+    absl::Time next_loan = absl::InfinitePast();
     absl::Time changed_at = absl::InfinitePast();
   };
 
   std::int64_t FreeOf(const Account& account) const;
   std::int64_t TargetOf(const Account& account, absl::Time now) const;
+  // Tokens that requests reserve in a second, of late.
+  double RateOf(const Account& account, absl::Time now) const;
   void NoteUse(Account* account, std::int64_t amount, absl::Time now);
   std::optional<PartTransaction> Plan(const CustomerId& id, Account* account,
                                       absl::Time now) const;
--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -55,7 +55,8 @@
   absl::flat_hash_map<TargetId, const TargetEntry*> by_id;
   for (const TargetEntry& entry : listing) by_id[entry.id] = &entry;
   for (auto it = targets_.begin(); it != targets_.end();) {
-    if (by_id.contains(it->first) || now < grace_until_) {
+    it->second.missing = !by_id.contains(it->first);
+    if (!it->second.missing || now < grace_until_) {
       ++it;
       continue;
     }
@@ -87,12 +88,18 @@
   return changes;
 }
 
+bool TargetPool::Usable(const State& state, const ServiceId& service,
+                        absl::Time now) const {
+  return state.entry.service == service && !state.entry.draining &&
+         (!state.missing || now < grace_until_);
+}
+
 std::vector<TargetPool::State*> TargetPool::Candidates(
     const PlacementNeed& need, absl::Time now) {
   std::vector<State*> usable;
   std::vector<State*> ejected;
   for (auto& [id, state] : targets_) {
-    if (state.entry.service != need.service || state.entry.draining) continue;
+    if (!Usable(state, need.service, now)) continue;
     if (std::find(need.tried.begin(), need.tried.end(), id) !=
         need.tried.end()) {
       continue;
@@ -263,8 +270,7 @@
 int TargetPool::CountUsable(const ServiceId& service, absl::Time now) const {
   int n = 0;
   for (const auto& [id, state] : targets_) {
-    if (state.entry.service != service || state.entry.draining) continue;
-    if (state.ejected_until <= now) ++n;
+    if (Usable(state, service, now) && state.ejected_until <= now) ++n;
   }
   return n;
 }
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -77,8 +77,9 @@
   // polling interval with room for one slow answer.
   absl::Duration listing_gap = absl::Milliseconds(2000);
   // Targets that are missing right after the list was away may still come
-  // back for this long; the platform names two seconds.
-  absl::Duration return_grace = absl::Milliseconds(2500);
+  // back and are used for this long: one heartbeat, and well within the time
+  // after which an instance that was cut off is bound to know who has left.
+  absl::Duration return_grace = absl::Milliseconds(1500);
 };
 
 // The targets of all services: what the platform lists, what this instance
@@ -119,6 +120,8 @@
  private:
   struct State {
     TargetEntry entry;
+    // Missing in the last listing; used until the grace is over.
+    bool missing = false;
     int in_flight = 0;
     // Prompt reading that this instance still waits for.
     double pending_prefill_ms = 0;
@@ -139,6 +142,8 @@
               absl::Time now) const;
   double PrefillMs(const State& state, const PlacementNeed& need, int rank,
                    absl::Time now) const;
+  bool Usable(const State& state, const ServiceId& service,
+              absl::Time now) const;
   std::vector<State*> Candidates(const PlacementNeed& need, absl::Time now);
   void RememberPart(State* state, const PlacementNeed& need, absl::Time now);
   std::optional<TargetChange> Eject(State* state, absl::Time now);
--- a/src/router/ledger_runner.cc
+++ b/src/router/ledger_runner.cc
@@ -57,12 +57,17 @@
   ledger_->Complete(customer, reply, scheduler_->Now());
   const bool failed = reply.outcome == CommitOutcome::kRejected ||
                       reply.outcome == CommitOutcome::kUnknown;
+  const PrepaidLedger::View view = ledger_->ViewOf(customer);
   log_->Write(EventId::kBudgetOrderEnded,
               failed ? Severity::kWarning : Severity::kDebug,
               "budget order ended",
               {{"customer", customer.value()},
                {"outcome", OutcomeName(reply.outcome)},
-               {"free", absl::StrCat(ledger_->Free(customer).value())}});
+               {"prepaid", absl::StrCat(view.prepaid.value())},
+               {"granted", absl::StrCat(view.granted.value())},
+               {"settled", absl::StrCat(view.settled.value())},
+               {"held_here", absl::StrCat(view.held_here.value())},
+               {"reserved_here", absl::StrCat(view.reserved_here.value())}});
   changed_(customer);
   Poke();
 }
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -68,12 +68,11 @@
             return !config_watch_.source_answers() ||
                    !target_watch_.source_answers();
           },
-          [this] {
-            std::vector<Endpoint> peers = member_watch_.Others();
-            if (peers.empty()) peers = settings_.seeds;
-            std::erase(peers, settings_.listen.peers);
-            return peers;
-          }),
+          [this] { return Peers(); }),
+      peer_loans_(
+          {}, io, &scheduler_, random_.get(), &ledger_, log,
+          [this] { return Peers(); },
+          [this](const CustomerId& id) { OnLedgerChanged(id); }),
       ready_server_(io, [this](const std::string&, const std::string&,
                                const std::string&) { return AnswerReady(); }),
       peer_server_(io,
@@ -147,6 +146,13 @@
 
 HttpReply RouterDaemon::AnswerPeer(const std::string& target) {
   if (target == kMetricsPath) return {.status = 200, .body = counters_.Page()};
+  const std::string loan_path(kPeerLoanPath);
+  if (target.starts_with(loan_path)) {
+    const std::optional<std::string> answer = PeerLoans::AnswerLoan(
+        target.substr(loan_path.size()), &ledger_, scheduler_.Now());
+    if (answer.has_value()) return {.status = 200, .body = *answer};
+    return {.status = 404};
+  }
   std::uint64_t revision = 0;
   const std::string path(kPeerConfigPath);
   if (!target.starts_with(path) ||
@@ -176,9 +182,20 @@
   for (const auto& connection : connections) {
     if (connection->WaitsFor(customer)) connection->OnLedgerChanged();
   }
+  peer_loans_.Poke();
 }
 
-void RouterDaemon::OnWaitingForTokens() { ledger_runner_.Poke(); }
+void RouterDaemon::OnWaitingForTokens() {
+  ledger_runner_.Poke();
+  peer_loans_.Poke();
+}
+
+std::vector<Endpoint> RouterDaemon::Peers() const {
+  std::vector<Endpoint> peers = member_watch_.Others();
+  if (peers.empty()) peers = settings_.seeds;
+  std::erase(peers, settings_.listen.peers);
+  return peers;
+}
 
 void RouterDaemon::OnConnectionClosed(CallerConnection* connection) {
   connections_.erase(connection->shared_from_this());
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
@@ -20,6 +22,7 @@
 #include "src/router/ledger_runner.h"
 #include "src/router/member_watch.h"
 #include "src/router/peer_help.h"
+#include "src/router/peer_loans.h"
 #include "src/router/router_settings.h"
 #include "src/router/target_watch.h"
 #include "src/runtime/caller_connection.h"
@@ -66,6 +69,7 @@
   void OnLedgerChanged(const CustomerId& customer);
   void OnConfigApplied();
   void OnInstancesCounted(int count);
+  std::vector<Endpoint> Peers() const;
   bool AnyBusy() const;
 
   void OnConnectionClosed(CallerConnection* connection) override;
@@ -90,6 +94,7 @@
   MemberWatch member_watch_;
   LedgerRunner ledger_runner_;
   PeerHelp peer_help_;
+  PeerLoans peer_loans_;
   SmallServer ready_server_;
   SmallServer peer_server_;
   boost::asio::ip::tcp::acceptor acceptor_;
