Keep a reserve of prepaid tokens that a restart can prove unspent

Cause: after all instances were killed, 12 to 37% of each budget stayed granted to lives that had ended; nothing showed what they had spent. Ruled out: reporting each request (a write per request doesn't carry to 33,000 a second). Change: only an authorised part of a grant may be used while the platform answers; the next life takes its row over and, by the platform's clock in the last heartbeat, proves that the reserve was not used. Lenders keep 0.3 s of their own rate and all of up to eight instances are asked.

--- a/include/wisteriareel/async_table.h
+++ b/include/wisteriareel/async_table.h
@@ -62,6 +62,16 @@
                          const PartTransaction&) = default;
 };
 
+// A moment of the platform's clock, which runs steadily and is the same for
+// all instances, and what this instance's clock showed then at the latest.
+struct TableContact {
+  std::int64_t platform_ms = 0;
+  // When the call was sent that the platform answered.
+  absl::Time sent;
+
+  friend bool operator==(const TableContact&, const TableContact&) = default;
+};
+
 struct CommitReply {
   CommitOutcome outcome = CommitOutcome::kUnknown;
   // Version of the rows written, if committed.
@@ -69,6 +79,8 @@
   // The rows of the conditions as they are, if they conflicted. Absent rows
   // are left out.
   std::vector<PartRow> current;
+  // The platform's clock, if the reply told it.
+  std::optional<std::int64_t> platform_ms;
 };
 
 // Rows as of one moment.
@@ -76,6 +88,8 @@
   std::vector<PartRow> rows;
   // Newest version of the whole table service at that moment.
   std::uint64_t version = 0;
+  // The platform's clock, if the reply told it.
+  std::optional<std::int64_t> platform_ms;
 };
 
 // What became of waiting for changes.
@@ -104,6 +118,9 @@
 
   virtual ~AsyncTable() = default;
 
+  // Returns the last answer of the platform, if there was any.
+  virtual std::optional<TableContact> LastContact() const = 0;
+
   virtual void Commit(const PartTransaction& transaction, CommitDone done) = 0;
 
   // Reads all rows of a part of `table`.
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -26,6 +26,7 @@
   kHolderReclaimed = 1202,
   kBudgetOrderEnded = 1203,
   kTokensBorrowed = 1204,
+  kHoldingsInherited = 1205,
   // 1300-1399 request.
   kClaimInDoubt = 1300,
   kClaimReleasePending = 1301,
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -34,22 +34,23 @@
 constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(400);
 // Others are asked again this long after they couldn't lend enough.
 constexpr absl::Duration kLoanInterval = absl::Milliseconds(400);
-// A lender keeps what it needs for this time; a borrower asks for as much.
-constexpr absl::Duration kLenderReserve = absl::Milliseconds(1500);
-constexpr absl::Duration kBorrowAhead = absl::Milliseconds(1500);
+// A lender keeps what it needs for this time; a borrower asks for a little
+// more, so that not every request has to ask.
+constexpr absl::Duration kLenderReserve = absl::Milliseconds(300);
+constexpr absl::Duration kBorrowAhead = absl::Milliseconds(600);
+// What is authorised lasts this much longer than the time after which the
+// reserve may be used.
+constexpr absl::Duration kAuthorisedMargin = absl::Milliseconds(500);
 constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
 constexpr absl::Duration kLongestBackoff = absl::Seconds(1);
 
-// Rows hold two decimal numbers: granted and settled tokens.
-std::string Encode(std::int64_t granted, std::int64_t settled) {
-  return absl::StrCat(granted, " ", settled);
-}
-
-bool Decode(const std::string& value, std::int64_t* granted,
-            std::int64_t* settled) {
-  const std::vector<std::string> fields = absl::StrSplit(value, ' ');
-  return fields.size() == 2 && absl::SimpleAtoi(fields[0], granted) &&
-         absl::SimpleAtoi(fields[1], settled);
+// Rows hold decimal numbers, and names last, with blanks between.
+template <typename... Numbers>
+bool DecodeNumbers(const std::vector<std::string>& fields,
+                   Numbers*... numbers) {
+  std::size_t n = 0;
+  return fields.size() >= sizeof...(numbers) &&
+         (absl::SimpleAtoi(fields[n++], numbers) && ...);
 }
 
 }  // namespace
@@ -64,7 +65,7 @@
 PartRowKey PrepaidLedger::HolderKey(const CustomerId& id) const {
   return {.table = kTable,
           .part = id.value(),
-          .key = absl::StrCat("holder/", options_.holder)};
+          .key = absl::StrCat("holder/", options_.instance)};
 }
 
 void PrepaidLedger::SetBudgets(const RouteConfig& config) {
@@ -78,9 +79,40 @@
 
 void PrepaidLedger::SetInstances(int count) { instances_ = std::max(1, count); }
 
-std::int64_t PrepaidLedger::FreeOf(const Account& account) const {
-  return account.own.granted - account.settled - account.reserved -
-         account.lent - account.returning;
+void PrepaidLedger::NoteContact(absl::Time sent) {
+  last_contact_ = std::max(last_contact_, sent);
+}
+
+std::int64_t PrepaidLedger::UsedOf(const Account& account) {
+  return account.settled + account.reserved + account.lent +
+         account.written_off;
+}
+
+bool PrepaidLedger::WithinAuthorised() const {
+  return std::all_of(accounts_.begin(), accounts_.end(), [](const auto& entry) {
+    const Account& account = entry.second;
+    if (!account.prepaid.has_value()) return true;
+    std::int64_t authorised = account.own.authorised;
+    if (account.order.has_value()) {
+      authorised = std::min(authorised, account.order->own.authorised);
+    }
+    return UsedOf(account) <= authorised;
+  });
+}
+
+std::int64_t PrepaidLedger::LimitOf(const Account& account,
+                                    absl::Time now) const {
+  const bool reserve_open = now - last_contact_ > options_.reserve_after;
+  const auto limit = [reserve_open](const Holding& own) {
+    return reserve_open ? own.granted : std::min(own.granted, own.authorised);
+  };
+  if (!account.order.has_value()) return limit(account.own);
+  return std::min(limit(account.own), limit(account.order->own));
+}
+
+std::int64_t PrepaidLedger::FreeOf(const Account& account,
+                                   absl::Time now) const {
+  return LimitOf(account, now) - UsedOf(account);
 }
 
 void PrepaidLedger::NoteUse(Account* account, std::int64_t amount,
@@ -98,7 +130,7 @@
   Account& account = accounts_[customer];
   if (!account.prepaid.has_value()) return ReserveResult::kReserved;
   const std::int64_t amount = most.value();
-  if (FreeOf(account) >= amount) {
+  if (FreeOf(account, now) >= amount) {
     account.reserved += amount;
     NoteUse(&account, amount, now);
     return ReserveResult::kReserved;
@@ -158,66 +190,88 @@
       std::max<std::int64_t>(0, available) / (kPoolDivisor * instances_));
 }
 
+std::int64_t PrepaidLedger::AheadOf(const Account& account,
+                                    absl::Time now) const {
+  if (giving_up_) return 0;
+  const absl::Duration time = options_.reserve_after + kAuthorisedMargin;
+  const double by_rate = RateOf(account, now) * absl::ToDoubleSeconds(time);
+  // An instance without requests so far authorises in the same proportion.
+  const double idle = static_cast<double>(account.prepaid->value()) /
+                      (kIdleShare * instances_) *
+                      absl::FDivDuration(time, options_.horizon);
+  return static_cast<std::int64_t>(std::max(by_rate, idle));
+}
+
 std::int64_t PrepaidLedger::PlanGrant(const Account& account,
                                       absl::Time now) const {
   if (giving_up_) return 0;
   const std::int64_t available =
       account.prepaid->value() - account.pool.granted;
-  if (account.pool_known && available <= 0) return 0;
-  const std::int64_t free = FreeOf(account);
+  const std::int64_t held = account.own.granted - UsedOf(account);
   const std::int64_t target = TargetOf(account, now);
   std::int64_t grant = 0;
-  if (static_cast<double>(free) < kRefillShare * static_cast<double>(target)) {
-    grant = target - free;
+  if (static_cast<double>(held) < kRefillShare * static_cast<double>(target)) {
+    grant = target - held;
   }
-  if (account.wanted > free) {
-    grant += account.wanted - std::max<std::int64_t>(0, free);
+  if (account.wanted > held) {
+    grant = std::max(grant, account.wanted - held + target / 2);
   }
   grant = std::min(grant, available);
   // Part of what a request needs is of no use here.
-  if (free + grant < account.least_wanted) return 0;
+  if (held + grant < account.least_wanted) return 0;
   return std::max<std::int64_t>(0, grant);
 }
 
 std::int64_t PrepaidLedger::PlanReturn(const Account& account,
                                        absl::Time now) const {
-  const std::int64_t free = FreeOf(account);
-  if (giving_up_) return std::max<std::int64_t>(0, free);
+  const std::int64_t held = account.own.granted - UsedOf(account);
+  if (giving_up_) return std::max<std::int64_t>(0, held);
   if (account.wanted > 0) return 0;
   const std::int64_t target = TargetOf(account, now);
-  const std::int64_t spare = free - target;
+  const std::int64_t spare = held - target;
   const std::int64_t crumb = account.prepaid->value() / kCrumbDivisor;
   return spare > std::max(target, crumb) ? spare : 0;
 }
 
-std::optional<PartTransaction> PrepaidLedger::Plan(const CustomerId& id,
-                                                   Account* account,
-                                                   absl::Time now) const {
-  const std::int64_t grant = PlanGrant(*account, now);
-  const std::int64_t give_back = grant > 0 ? 0 : PlanReturn(*account, now);
-  const std::int64_t report = account->settled - account->own.settled;
+std::optional<PrepaidLedger::Order> PrepaidLedger::Plan(const CustomerId& id,
+                                                        const Account& account,
+                                                        absl::Time now) const {
+  const std::int64_t grant = PlanGrant(account, now);
+  const std::int64_t give_back = grant > 0 ? 0 : PlanReturn(account, now);
+  const std::int64_t report = account.settled - account.own.settled;
   const bool report_due =
-      report > 0 &&
-      (giving_up_ || account->next_order + kReportInterval <= now);
+      report > 0 && (giving_up_ || account.next_order + kReportInterval <= now);
+  const std::int64_t used = UsedOf(account);
+  Order order;
+  order.own = {.granted = account.own.granted + grant - give_back,
+               .settled = account.settled};
+  const std::int64_t ahead = AheadOf(account, now);
+  order.own.authorised = std::max(
+      used, std::min(order.own.granted, used + account.wanted + ahead));
+  const std::int64_t authorised_free = account.own.authorised - used;
+  const bool authorise =
+      authorised_free < 0 ||
+      (order.own.authorised > account.own.authorised &&
+       (account.wanted > authorised_free || authorised_free < ahead / 2));
   // A pool that seems too small for a waiting request is looked at again: an
   // order that changes nothing conflicts if the pool has changed.
-  const bool look_again = account->wanted > FreeOf(*account);
-  if (grant == 0 && give_back == 0 && !report_due && !look_again) {
+  const bool look_again = account.wanted > account.own.granted - used;
+  if (grant == 0 && give_back == 0 && !report_due && !authorise &&
+      !look_again) {
     return std::nullopt;
   }
-  account->returning = give_back;
-  PartTransaction transaction;
-  transaction.conditions = {
-      {.key = PoolKey(id), .version = account->pool_version},
-      {.key = HolderKey(id), .version = account->own_version}};
-  transaction.writes = {
+  order.pool = {.granted = account.pool.granted + grant - give_back,
+                .settled = account.pool.settled + report};
+  order.transaction.conditions = {
+      {.key = PoolKey(id), .version = account.pool_version},
+      {.key = HolderKey(id), .version = account.own_version}};
+  order.transaction.writes = {
       {.key = PoolKey(id),
-       .value = Encode(account->pool.granted + grant - give_back,
-                       account->pool.settled + report)},
+       .value = absl::StrCat(order.pool.granted, " ", order.pool.settled)},
       {.key = HolderKey(id),
-       .value = Encode(account->own.granted + grant - give_back,
-                       account->own.settled + report)}};
-  return transaction;
+       .value = absl::StrCat(order.own.granted, " ", order.own.settled, " ",
+                             order.own.authorised, " ", options_.life)}};
+  return order;
 }
 
 std::vector<LedgerOrder> PrepaidLedger::TakeOrders(absl::Time now) {
@@ -225,28 +279,52 @@
   for (auto& [id, account] : accounts_) {
     if (!account.prepaid.has_value() || account.in_flight) continue;
     if (account.next_order > now) continue;
-    if (!account.order.has_value()) account.order = Plan(id, &account, now);
+    if (!account.order.has_value()) account.order = Plan(id, account, now);
     if (!account.order.has_value()) continue;
     account.in_flight = true;
-    orders.push_back({.customer = id, .transaction = *account.order});
+    orders.push_back(
+        {.customer = id, .transaction = account.order->transaction});
   }
   return orders;
 }
 
+void PrepaidLedger::Inherit(Account* account) {
+  Holding& own = account->own;
+  const std::int64_t base = inherited_use_ == InheritedUse::kAuthorised
+                                ? std::min(own.authorised, own.granted)
+                                : own.granted;
+  account->settled += own.settled;
+  account->written_off += base - own.settled;
+}
+
 void PrepaidLedger::Adopt(Account* account, const std::vector<PartRow>& rows) {
   account->pool = {};
   account->pool_version = 0;
   account->own = {};
   account->own_version = 0;
   for (const PartRow& row : rows) {
-    const bool is_pool = row.key.key == kPoolRow;
-    Totals& totals = is_pool ? account->pool : account->own;
-    (is_pool ? account->pool_version : account->own_version) = row.version;
-    if (Decode(row.value, &totals.granted, &totals.settled)) continue;
-    // An unreadable pool grants nothing.
-    if (is_pool) totals.granted = INT64_MAX / 2;
+    const std::vector<std::string> fields = absl::StrSplit(row.value, ' ');
+    if (row.key.key == kPoolRow) {
+      account->pool_version = row.version;
+      if (!DecodeNumbers(fields, &account->pool.granted,
+                         &account->pool.settled)) {
+        // An unreadable pool grants nothing.
+        account->pool.granted = INT64_MAX / 2;
+      }
+      continue;
+    }
+    account->own_version = row.version;
+    Holding& own = account->own;
+    if (!DecodeNumbers(fields, &own.granted, &own.settled, &own.authorised)) {
+      own = {};
+    }
+    if (!account->inherited && fields.back() != options_.life) {
+      Inherit(account);
+    }
   }
   account->pool_known = true;
+  // A row that another life wrote is inherited once.
+  account->inherited = true;
 }
 
 void PrepaidLedger::Complete(const CustomerId& customer,
@@ -265,22 +343,22 @@
   account.platform_away = false;
   account.backoff = absl::ZeroDuration();
   if (reply.outcome == CommitOutcome::kCommitted) {
-    std::vector<PartRow> rows;
-    for (const PartRowWrite& write : account.order->writes) {
-      rows.push_back({.key = write.key,
-                      .value = write.value.value_or(""),
-                      .version = reply.version});
-    }
-    Adopt(&account, rows);
+    account.pool = account.order->pool;
+    account.own = account.order->own;
+    account.pool_version = reply.version;
+    account.own_version = reply.version;
+    account.pool_known = true;
+    account.inherited = true;
   } else {
     Adopt(&account, reply.current);
   }
   account.order.reset();
-  account.returning = 0;
   account.next_order = now;
   const std::int64_t available =
       account.prepaid.value_or(Tokens(0)).value() - account.pool.granted;
-  account.pool_empty = account.least_wanted - FreeOf(account) > available;
+  account.pool_empty =
+      account.least_wanted - (account.own.granted - UsedOf(account)) >
+      available;
   if (account.pool_empty) account.next_order = now + kEmptyPoolInterval;
   account.wanted = 0;
   account.least_wanted = 0;
@@ -290,16 +368,17 @@
   for (const auto& [id, account] : accounts_) {
     if (!account.prepaid.has_value()) continue;
     if (account.order.has_value() || account.reserved > 0) return false;
-    if (FreeOf(account) > 0 || account.settled > account.own.settled) {
+    if (account.own.granted > UsedOf(account) ||
+        account.settled > account.own.settled) {
       return false;
     }
   }
   return true;
 }
 
-Tokens PrepaidLedger::Free(const CustomerId& customer) const {
+Tokens PrepaidLedger::Free(const CustomerId& customer, absl::Time now) const {
   const auto it = accounts_.find(customer);
-  return it == accounts_.end() ? Tokens(0) : Tokens(FreeOf(it->second));
+  return it == accounts_.end() ? Tokens(0) : Tokens(FreeOf(it->second, now));
 }
 
 PrepaidLedger::View PrepaidLedger::ViewOf(const CustomerId& customer) const {
@@ -309,7 +388,7 @@
   return {.prepaid = account.prepaid.value_or(Tokens(0)),
           .granted = Tokens(account.pool.granted),
           .settled = Tokens(account.pool.settled),
-          .held_here = Tokens(account.own.granted - account.settled),
+          .held_here = Tokens(account.own.granted - UsedOf(account)),
           .reserved_here = Tokens(account.reserved)};
 }
 
@@ -322,7 +401,7 @@
   Account& account = it->second;
   const auto own_need = static_cast<std::int64_t>(
       RateOf(account, now) * absl::ToDoubleSeconds(kLenderReserve));
-  const std::int64_t spare = FreeOf(account) - own_need;
+  const std::int64_t spare = FreeOf(account, now) - own_need;
   const std::int64_t amount = std::clamp<std::int64_t>(
       spare, 0, std::max<std::int64_t>(0, wanted.value()));
   account.lent += amount;
@@ -340,7 +419,7 @@
     requests.push_back(
         {.customer = id,
          .amount = Tokens(account.wanted + ahead -
-                          std::max<std::int64_t>(0, FreeOf(account)))});
+                          std::max<std::int64_t>(0, FreeOf(account, now)))});
   }
   return requests;
 }
@@ -352,7 +431,7 @@
 void PrepaidLedger::CompleteLoan(const CustomerId& customer, absl::Time now) {
   Account& account = accounts_[customer];
   account.loan_in_flight = false;
-  account.next_loan = account.least_wanted > FreeOf(account)
+  account.next_loan = account.least_wanted > FreeOf(account, now)
                           ? now + kLoanInterval
                           : absl::InfinitePast();
   account.wanted = 0;
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -28,11 +28,24 @@
 };
 
 struct PrepaidLedgerOptions {
+  // Names this instance; the same after a restart.
+  std::string instance;
   // Identifies this life of this instance; never used again.
-  std::string holder;
+  std::string life;
   // Time that what is held should last without the platform; the outages that
   // the platform names last up to nine seconds.
-  absl::Duration horizon = absl::Seconds(8);
+  absl::Duration horizon = absl::Seconds(9);
+  // Time without the platform after which the reserve may be used. Longer than
+  // a restart takes, so that the next life can prove that it wasn't.
+  absl::Duration reserve_after = absl::Seconds(3);
+};
+
+// What the last life of an instance may have used of what it held.
+enum class InheritedUse : std::uint8_t {
+  // Its reserve can't have been used.
+  kAuthorised,
+  // All of it may have been used.
+  kAll,
 };
 
 // Tokens that other instances are asked to lend.
@@ -52,16 +65,33 @@
 // Prepaid tokens that this instance holds, by customer.
 //
 // Each customer has a part of the platform's table with one pool row, the sum
-// of what was granted and settled, and one row a holder. A grant moves both in
-// one transaction, so that over all holders, dead or alive, settled plus held
-// tokens never exceed what was paid. An order whose reply was lost is sent
-// again unchanged: its conditions let it take effect at most once, and the
-// conflict that follows tells what is so. Not thread-safe; opens no
-// connection.
+// of what was granted and settled, and one row an instance. A grant moves both
+// in one transaction, so that over all instances, dead or alive, settled plus
+// held tokens never exceed what was paid. An order whose reply was lost is
+// sent again unchanged: its conditions let it take effect at most once, and
+// the conflict that follows tells what is so. Until then the smaller of both
+// limits holds.
+//
+// Of what is granted only the authorised part may be used; the rest is a
+// reserve for outages, used once the platform hasn't answered for
+// `reserve_after`. The next life of an instance takes over the row: if it can
+// show that its predecessor ended before that time was over, the reserve is
+// its own again; otherwise all that was granted counts as used. Not
+// thread-safe; opens no connection.
 class PrepaidLedger {
  public:
   explicit PrepaidLedger(PrepaidLedgerOptions options);
 
+  // Says what an earlier life may have used. Before the first order.
+  void SetInheritedUse(InheritedUse use) { inherited_use_ = use; }
+
+  // The platform answered a call that was sent at `sent`.
+  void NoteContact(absl::Time sent);
+
+  // Returns true if no more is used than is authorised in the table, so that
+  // a later life may be told of contacts up to now.
+  bool WithinAuthorised() const;
+
   // Takes the budgets of `config`. Customers without one are unlimited.
   void SetBudgets(const RouteConfig& config);
 
@@ -90,7 +120,7 @@
   bool Settled() const;
 
   // Returns what could be reserved for `customer` now.
-  Tokens Free(const CustomerId& customer) const;
+  Tokens Free(const CustomerId& customer, absl::Time now) const;
 
   // Returns what is known of the customer's budget, for logs.
   struct View {
@@ -120,35 +150,50 @@
   void CompleteLoan(const CustomerId& customer, absl::Time now);
 
  private:
-  struct Totals {
+  struct Pool {
     std::int64_t granted = 0;
     std::int64_t settled = 0;
   };
+  // This instance's row.
+  struct Holding {
+    std::int64_t granted = 0;
+    std::int64_t settled = 0;
+    // Cumulative limit on what is settled, reserved, lent and written off.
+    std::int64_t authorised = 0;
+  };
+  // A transaction under way.
+  struct Order {
+    PartTransaction transaction;
+    Pool pool;
+    Holding own;
+  };
   struct Account {
     std::optional<Tokens> prepaid;
     // As of the last definite reply.
-    Totals pool;
+    Pool pool;
     std::uint64_t pool_version = 0;
     bool pool_known = false;
-    Totals own;
+    Holding own;
     std::uint64_t own_version = 0;
     // Settled here, including what is not yet reported.
     std::int64_t settled = 0;
     std::int64_t reserved = 0;
     // Lent to others (positive) or borrowed from them (negative).
     std::int64_t lent = 0;
-    // Given back by an order whose outcome isn't known.
-    std::int64_t returning = 0;
+    // May have been used by an earlier life without being settled.
+    std::int64_t written_off = 0;
     // Worst cases of the requests that wait: their sum and the smallest.
     std::int64_t wanted = 0;
     std::int64_t least_wanted = 0;
     // Decayed sum of reservations, as of `rate_at`.
     double recent = 0;
     absl::Time rate_at = absl::InfinitePast();
-    std::optional<PartTransaction> order;
+    std::optional<Order> order;
     bool in_flight = false;
     absl::Time next_order = absl::InfinitePast();
     absl::Duration backoff;
+    // A row of an earlier life was looked for.
+    bool inherited = false;
     bool platform_away = false;
     // The pool was found too small for what waits.
     bool pool_empty = false;
@@ -159,22 +204,29 @@
     absl::Time changed_at = absl::InfinitePast();
   };
 
-  std::int64_t FreeOf(const Account& account) const;
-  std::int64_t TargetOf(const Account& account, absl::Time now) const;
+  static std::int64_t UsedOf(const Account& account);
+  std::int64_t LimitOf(const Account& account, absl::Time now) const;
+  std::int64_t FreeOf(const Account& account, absl::Time now) const;
   // Tokens that requests reserve in a second, of late.
   double RateOf(const Account& account, absl::Time now) const;
+  std::int64_t TargetOf(const Account& account, absl::Time now) const;
+  // Tokens that should be authorised beyond those in use.
+  std::int64_t AheadOf(const Account& account, absl::Time now) const;
   void NoteUse(Account* account, std::int64_t amount, absl::Time now);
-  std::optional<PartTransaction> Plan(const CustomerId& id, Account* account,
-                                      absl::Time now) const;
+  std::optional<Order> Plan(const CustomerId& id, const Account& account,
+                            absl::Time now) const;
   std::int64_t PlanGrant(const Account& account, absl::Time now) const;
   std::int64_t PlanReturn(const Account& account, absl::Time now) const;
   void Adopt(Account* account, const std::vector<PartRow>& rows);
+  void Inherit(Account* account);
   static PartRowKey PoolKey(const CustomerId& id);
   PartRowKey HolderKey(const CustomerId& id) const;
 
   const PrepaidLedgerOptions options_;
   int instances_ = 1;
   bool giving_up_ = false;
+  InheritedUse inherited_use_ = InheritedUse::kAll;
+  absl::Time last_contact_ = absl::InfinitePast();
   std::map<CustomerId, Account> accounts_;
 };
 
--- a/src/router/ledger_runner.cc
+++ b/src/router/ledger_runner.cc
@@ -36,7 +36,10 @@
       log_(log),
       changed_(std::move(changed)) {}
 
-void LedgerRunner::Start() { Tick(); }
+void LedgerRunner::Start() {
+  started_ = true;
+  Tick();
+}
 
 void LedgerRunner::Tick() {
   Poke();
@@ -44,6 +47,9 @@
 }
 
 void LedgerRunner::Poke() {
+  const std::optional<TableContact> contact = table_->LastContact();
+  if (contact.has_value()) ledger_->NoteContact(contact->sent);
+  if (!started_) return;
   for (LedgerOrder& order : ledger_->TakeOrders(scheduler_->Now())) {
     table_->Commit(order.transaction,
                    [this, customer = order.customer](const CommitReply& reply) {
--- a/src/router/ledger_runner.h
+++ b/src/router/ledger_runner.h
@@ -19,6 +19,7 @@
   LedgerRunner(PrepaidLedger* ledger, AsyncTable* table, Scheduler* scheduler,
                EventLog* log, std::function<void(const CustomerId&)> changed);
 
+  // Until then no order is sent.
   void Start();
 
   // Sends what is due now.
@@ -33,6 +34,7 @@
   Scheduler* const scheduler_;
   EventLog* const log_;
   const std::function<void(const CustomerId&)> changed_;
+  bool started_ = false;
 };
 
 }  // namespace wisteriareel
--- a/src/router/member_watch.cc
+++ b/src/router/member_watch.cc
@@ -12,51 +12,86 @@
 
 constexpr char kTable[] = "members";
 
-// Rows hold the address and a number that grows: "IP PORT BEAT".
-std::optional<Endpoint> AddressOf(const std::string& value) {
-  const std::vector<std::string> fields = absl::StrSplit(value, ' ');
+}  // namespace
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
+  return absl::StrCat(heartbeat.address.host, " ", heartbeat.address.port, " ",
+                      heartbeat.number, " ", heartbeat.contact_ms);
+}
+
+std::optional<Heartbeat> DecodeHeartbeat(const std::string& text) {
+  const std::vector<std::string> fields = absl::StrSplit(text, ' ');
   std::uint32_t port = 0;
-  if (fields.size() != 3 || !absl::SimpleAtoi(fields[1], &port) ||
-      port > UINT16_MAX) {
+  Heartbeat heartbeat;
+  if (fields.size() != 4 || !absl::SimpleAtoi(fields[1], &port) ||
+      port > UINT16_MAX || !absl::SimpleAtoi(fields[2], &heartbeat.number) ||
+      !absl::SimpleAtoi(fields[3], &heartbeat.contact_ms)) {
     return std::nullopt;
   }
-  return Endpoint{.host = fields[0], .port = static_cast<std::uint16_t>(port)};
+  heartbeat.address = {.host = fields[0],
+                       .port = static_cast<std::uint16_t>(port)};
+  return heartbeat;
 }
 
-}  // namespace
-
 MemberWatch::MemberWatch(MemberWatchOptions options, AsyncTable* table,
-                         Scheduler* scheduler, std::function<void(int)> counted)
+                         Scheduler* scheduler, MemberWatchOwner* owner)
     : options_(std::move(options)),
       table_(table),
       scheduler_(scheduler),
-      counted_(std::move(counted)) {}
+      owner_(owner),
+      heartbeat_({.address = options_.address}) {}
 
 PartRowKey MemberWatch::RowOf(const std::string& name) const {
   return {.table = kTable, .part = "", .key = name};
 }
 
 void MemberWatch::Start() {
-  counted_(options_.assumed);
-  Beat();
+  owner_->OnInstancesCounted(options_.assumed);
+  ReadPast();
+}
+
+void MemberWatch::ReadPast() {
+  table_->Read(kTable, "",
+               [this](const std::optional<RowsReply>& rows, const LastReason&) {
+                 if (!rows.has_value()) {
+                   scheduler_->After(options_.interval, [this] { ReadPast(); });
+                   return;
+                 }
+                 std::optional<Heartbeat> last;
+                 for (const PartRow& row : rows->rows) {
+                   if (row.key.key != options_.self.value()) continue;
+                   last = DecodeHeartbeat(row.value);
+                 }
+                 // Another instance that had this name may still live
+                 // elsewhere.
+                 if (last.has_value() && last->address != options_.address)
+                   last.reset();
+                 owner_->OnOwnPast(last);
+                 if (last.has_value()) heartbeat_.number = last->number;
+                 Take(rows->rows);
+                 Beat();
+               });
 }
 
 void MemberWatch::Beat() {
   if (leaving_) return;
-  ++beats_;
+  scheduler_->After(options_.interval, [this] { Beat(); });
+  const std::optional<std::int64_t> contact = owner_->ContactToTell();
+  if (contact.has_value()) heartbeat_.contact_ms = *contact;
+  ++heartbeat_.number;
   const PartTransaction transaction{
       .writes = {{.key = RowOf(options_.self.value()),
-                  .value = absl::StrCat(options_.address.host, " ",
-                                        options_.address.port, " ", beats_)}}};
+                  .value = EncodeHeartbeat(heartbeat_)}}};
   // A heartbeat that fails is followed by the next one.
-  table_->Commit(transaction, [this](const CommitReply&) { List(); });
+  table_->Commit(transaction, [](const CommitReply&) {});
+  if (scheduler_->Now() - listed_at_ >= options_.listing_interval) List();
 }
 
 void MemberWatch::List() {
+  listed_at_ = scheduler_->Now();
   table_->Read(kTable, "",
                [this](const std::optional<RowsReply>& rows, const LastReason&) {
                  if (rows.has_value()) Take(rows->rows);
-                 scheduler_->After(options_.interval, [this] { Beat(); });
                });
 }
 
@@ -65,10 +100,11 @@
   std::map<std::string, Member> members;
   PartTransaction removal;
   for (const PartRow& row : rows) {
-    const std::optional<Endpoint> address = AddressOf(row.value);
-    if (!address.has_value()) continue;
-    Member member{
-        .version = row.version, .changed_at = now, .address = *address};
+    const std::optional<Heartbeat> heartbeat = DecodeHeartbeat(row.value);
+    if (!heartbeat.has_value()) continue;
+    Member member{.version = row.version,
+                  .changed_at = now,
+                  .address = heartbeat->address};
     const auto it = members_.find(row.key.key);
     if (it != members_.end() && it->second.version == row.version) {
       member.changed_at = it->second.changed_at;
@@ -88,7 +124,7 @@
       ++alive;
     }
   }
-  counted_(alive);
+  owner_->OnInstancesCounted(alive);
   if (!removal.writes.empty()) {
     table_->Commit(removal, [](const CommitReply&) {});
   }
--- a/src/router/member_watch.h
+++ b/src/router/member_watch.h
@@ -2,8 +2,8 @@
 #define WISTERIAREEL_SRC_ROUTER_MEMBER_WATCH_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,8 +18,11 @@
   InstanceId self;
   // Where other instances reach this one.
   Endpoint address;
-  // Time between two heartbeats, each a write and a listing.
-  absl::Duration interval = absl::Seconds(3);
+  // Time between two heartbeats. Well below the time after which the reserve
+  // of prepaid tokens may be used, since they show that it wasn't.
+  absl::Duration interval = absl::Milliseconds(500);
+  // Time between two listings.
+  absl::Duration listing_interval = absl::Seconds(3);
   // An instance whose heartbeat stands still for this long isn't counted:
   // longer than the platform's outages, since counting too few would let all
   // together repeat too much.
@@ -30,14 +33,41 @@
   int assumed = 16;
 };
 
+// What an instance's heartbeat says.
+struct Heartbeat {
+  Endpoint address;
+  std::uint64_t number = 0;
+  // The platform's clock when the instance was last in contact with it and
+  // had used no more than is authorised.
+  std::int64_t contact_ms = 0;
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat);
+std::optional<Heartbeat> DecodeHeartbeat(const std::string& text);
+
+// Whom MemberWatch tells and asks.
+class MemberWatchOwner {
+ public:
+  virtual ~MemberWatchOwner() = default;
+
+  // Gets the number of instances, this one included, whenever it was read.
+  virtual void OnInstancesCounted(int count) = 0;
+  // Gets the last heartbeat of this instance's earlier life, if there was
+  // one, before any heartbeat of this life is written.
+  virtual void OnOwnPast(const std::optional<Heartbeat>& last) = 0;
+  // Returns the contact to tell of, if it has advanced.
+  virtual std::optional<std::int64_t> ContactToTell() = 0;
+};
+
 // Tells the other instances of this one, and how many there are. Not
 // thread-safe.
 class MemberWatch {
  public:
-  // The pointers outlive the watch. `counted` gets the number of instances,
-  // this one included, whenever it was read.
+  // The pointers outlive the watch.
   MemberWatch(MemberWatchOptions options, AsyncTable* table,
-              Scheduler* scheduler, std::function<void(int)> counted);
+              Scheduler* scheduler, MemberWatchOwner* owner);
 
   void Start();
 
@@ -56,15 +86,17 @@
 
   void Beat();
   void List();
+  void ReadPast();
   void Take(const std::vector<PartRow>& rows);
   PartRowKey RowOf(const std::string& name) const;
 
   const MemberWatchOptions options_;
   AsyncTable* const table_;
   Scheduler* const scheduler_;
-  const std::function<void(int)> counted_;
+  MemberWatchOwner* const owner_;
   bool leaving_ = false;
-  std::uint64_t beats_ = 0;
+  Heartbeat heartbeat_;
+  absl::Time listed_at_ = absl::InfinitePast();
   std::map<std::string, Member> members_;
 };
 
--- a/src/router/peer_loans.h
+++ b/src/router/peer_loans.h
@@ -21,7 +21,7 @@
 
 struct PeerLoansOptions {
   // Instances asked for one loan.
-  int fanout = 4;
+  int fanout = 8;
   // A loan has to come within a caller's patience for its first token.
   absl::Duration timeout = absl::Milliseconds(200);
 };
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -28,6 +28,8 @@
                            boost::asio::io_context* io, EventLog* log,
                            std::function<void()> reload)
     : settings_(std::move(settings)),
+      table_(platform.table),
+      started_(SystemClock()->Now()),
       io_(io),
       log_(log),
       reload_(std::move(reload)),
@@ -37,8 +39,8 @@
       repeats_({.ratio = settings_.repeats.ratio,
                 .slack = settings_.repeats.slack,
                 .window = settings_.repeats.window}),
-      ledger_({.holder = absl::StrCat(settings_.instance.id.value(), "-",
-                                      random_->HexId())}),
+      ledger_({.instance = settings_.instance.id.value(),
+               .life = random_->HexId()}),
       router_({}),
       targets_(SystemClock()),
       services_({.io = io,
@@ -58,8 +60,7 @@
                     [this](const TargetId& id) { targets_.Drop(id); }),
       member_watch_(
           {.self = settings_.instance.id, .address = settings_.listen.peers},
-          platform.table, &scheduler_,
-          [this](int count) { OnInstancesCounted(count); }),
+          platform.table, &scheduler_, static_cast<MemberWatchOwner*>(this)),
       ledger_runner_(&ledger_, platform.table, &scheduler_, log,
                      [this](const CustomerId& id) { OnLedgerChanged(id); }),
       peer_help_(
@@ -94,7 +95,6 @@
   config_watch_.Start();
   target_watch_.Start();
   member_watch_.Start();
-  ledger_runner_.Start();
   peer_help_.Start();
   log_->Write(EventId::kDaemonStarted, Severity::kInfo, "router started",
               {{"instance", settings_.instance.id.value()},
@@ -171,6 +171,34 @@
   ledger_runner_.Poke();
 }
 
+void RouterDaemon::OnOwnPast(const std::optional<Heartbeat>& last) {
+  // The earlier life ended before this one began.
+  const std::optional<TableContact> contact = table_->LastContact();
+  InheritedUse use = InheritedUse::kAll;
+  absl::Duration since = absl::InfiniteDuration();
+  if (last.has_value() && contact.has_value()) {
+    since = absl::Milliseconds(contact->platform_ms - last->contact_ms) -
+            (contact->sent - started_);
+    if (since < PrepaidLedgerOptions().reserve_after) {
+      use = InheritedUse::kAuthorised;
+    }
+  }
+  ledger_.SetInheritedUse(use);
+  log_->Write(EventId::kHoldingsInherited, Severity::kInfo,
+              "holdings of an earlier life are taken over",
+              {{"reserve", use == InheritedUse::kAll ? "lost" : "kept"},
+               {"since_contact", absl::FormatDuration(since)}});
+  ledger_runner_.Start();
+}
+
+std::optional<std::int64_t> RouterDaemon::ContactToTell() {
+  const std::optional<TableContact> contact = table_->LastContact();
+  if (!contact.has_value()) return std::nullopt;
+  ledger_.NoteContact(contact->sent);
+  if (!ledger_.WithinAuthorised()) return std::nullopt;
+  return contact->platform_ms;
+}
+
 void RouterDaemon::OnInstancesCounted(int count) {
   repeats_.SetInstances(count);
   ledger_.SetInstances(count);
@@ -211,7 +239,6 @@
   draining_since_ = scheduler_.Now();
   log_->Write(EventId::kDaemonDraining, Severity::kInfo, "router drains",
               {{"connections", absl::StrCat(connections_.size())}});
-  member_watch_.Leave();
   ContinueShutdown();
 }
 
@@ -229,7 +256,11 @@
     }
     const bool quiet = !AnyBusy() && ledger_.Settled();
     if (quiet || elapsed >= latest) {
-      Stop(quiet ? "clean" : "grace over");
+      // Heartbeats go on until here: if the process is killed before, they
+      // show what it can't have used.
+      if (quiet) member_watch_.Leave();
+      scheduler_.After(kShutdownTick,
+                       [this, quiet] { Stop(quiet ? "clean" : "grace over"); });
       return;
     }
   }
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -43,7 +43,8 @@
 
 // One instance of the fleet: composes the decisions with what drives them, on
 // one thread.
-class RouterDaemon final : private CallerConnectionOwner {
+class RouterDaemon final : private CallerConnectionOwner,
+                           private MemberWatchOwner {
  public:
   // The pointers outlive the daemon. `reload` runs at SIGHUP.
   RouterDaemon(RouterSettings settings, const RouterPlatform& platform,
@@ -68,7 +69,6 @@
   HttpReply AnswerPeer(const std::string& target);
   void OnLedgerChanged(const CustomerId& customer);
   void OnConfigApplied();
-  void OnInstancesCounted(int count);
   std::vector<Endpoint> Peers() const;
   bool AnyBusy() const;
 
@@ -76,7 +76,13 @@
   bool Draining() const override { return draining_; }
   void OnWaitingForTokens() override;
 
+  void OnInstancesCounted(int count) override;
+  void OnOwnPast(const std::optional<Heartbeat>& last) override;
+  std::optional<std::int64_t> ContactToTell() override;
+
   const RouterSettings settings_;
+  AsyncTable* const table_;
+  const absl::Time started_;
   boost::asio::io_context* const io_;
   EventLog* const log_;
   const std::function<void()> reload_;
