Test the event-driven core without input or output

Cause of one mend: sums of fractions left a remainder that looked like work at an idle target; a target without requests now has none.

--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -220,6 +220,8 @@
     state.pending_prefill_ms =
         std::max(0.0, state.pending_prefill_ms - placement.prefill_ms);
   }
+  // Sums of fractions leave a remainder that would look like work.
+  if (state.in_flight == 0) state.pending_prefill_ms = 0;
   if (outcome == TargetOutcome::kAbandoned) return std::nullopt;
   if (outcome == TargetOutcome::kAnswered) {
     state.failure *= 1 - kFailureWeight;
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -36,6 +36,8 @@
   double prefill_ms = 0;
   bool engine = false;
   bool started = false;
+
+  friend bool operator==(const Placement&, const Placement&) = default;
 };
 
 // How a try at a target ended, as far as it tells about the target.
--- /dev/null
+++ b/test/forward_small_test.cc
@@ -0,0 +1,158 @@
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "src/forward/event_splitter.h"
+#include "src/forward/repeat_allowance.h"
+#include "src/forward/request_router.h"
+
+namespace wisteriareel {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const ServiceId kService("records");
+
+TEST(RepeatAllowanceTest, AllInstancesTogetherStayWithinTheLimit) {
+  constexpr int kInstances = 8;
+  const RepeatAllowanceOptions options{
+      .ratio = 0.2, .slack = 56, .window = absl::Seconds(10)};
+  std::vector<RepeatAllowance> fleet(kInstances, RepeatAllowance(options));
+  int requests = 0;
+  int repeats = 0;
+  for (RepeatAllowance& instance : fleet) {
+    instance.SetInstances(kInstances);
+    for (int n = 0; n < 100; ++n) {
+      const absl::Time now = kStart + absl::Milliseconds(90) * n;
+      instance.NoteRequest(kService, now);
+      ++requests;
+      // Each request fails and wants to be repeated.
+      if (instance.TryTake(kService, now)) ++repeats;
+    }
+  }
+  EXPECT_LE(repeats, 0.2 * requests + 56);
+  EXPECT_GT(repeats, 0);
+}
+
+TEST(RepeatAllowanceTest, TheAllowanceComesBackWithTheWindow) {
+  RepeatAllowance allowance(
+      {.ratio = 0, .slack = 4, .window = absl::Seconds(10)});
+  int taken = 0;
+  while (allowance.TryTake(kService, kStart)) ++taken;
+  EXPECT_FALSE(allowance.TryTake(kService, kStart + absl::Seconds(9)));
+  EXPECT_TRUE(allowance.TryTake(kService, kStart + absl::Seconds(10)));
+  EXPECT_GT(taken, 0);
+}
+
+TEST(EventSplitterTest, CutsAtBlankLinesWhereverTheBytesArrive) {
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nda";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    EventSplitter splitter;
+    std::vector<StreamEvent> events = splitter.Add(stream.substr(0, cut));
+    for (const StreamEvent& event : splitter.Add(stream.substr(cut))) {
+      events.push_back(event);
+    }
+    ASSERT_EQ(events.size(), 2U) << cut;
+    EXPECT_EQ(events[0], (StreamEvent{.bytes = "id: 1\ndata: a\n\n", .id = 1}));
+    EXPECT_EQ(events[1].id, 2);
+    EXPECT_TRUE(splitter.HasPartial());
+  }
+}
+
+RouteConfig Config(std::uint64_t revision) {
+  return {.revision = Revision(revision),
+          .routes = {{.name = "whole",
+                      .host = "h.example",
+                      .prefix = "/a/",
+                      .services = {{.service = kService}}},
+                     {.name = "part",
+                      .host = "h.example",
+                      .prefix = "/a/b/",
+                      .is_public = true,
+                      .services = {{.service = kService}}}},
+          .services = {{.id = kService}},
+          .customers = {{.id = CustomerId("c"), .api_keys = {"key"}}}};
+}
+
+std::shared_ptr<const RouteTable> Table(RouteConfig config) {
+  return std::make_shared<const RouteTable>(std::move(config));
+}
+
+RequestFacts Facts(const std::string& path, const std::string& key) {
+  return {.id = RequestId("r"),
+          .host = "H.example:80",
+          .path = path,
+          .api_key = key};
+}
+
+int StatusOf(const std::variant<ExchangeRequest, Refusal>& admitted) {
+  const Refusal* refusal = std::get_if<Refusal>(&admitted);
+  return refusal == nullptr ? 200 : refusal->status;
+}
+
+TEST(RequestRouterTest, WithoutAConfigurationNothingIsUnknownForGood) {
+  const RequestRouter router({});
+  const auto admitted = router.Admit(Facts("/a/x", "key"), kStart);
+  EXPECT_EQ(StatusOf(admitted), 503);
+  EXPECT_EQ(std::get<Refusal>(admitted).verdict, Verdict::kNotRun);
+}
+
+TEST(RequestRouterTest, TheLongestPrefixGetsTheRequest) {
+  RequestRouter router({});
+  router.Apply(Table(Config(1)), kStart);
+  const auto part = router.Admit(Facts("/a/b/c?q=/a/", ""), kStart);
+  ASSERT_EQ(StatusOf(part), 200);
+  EXPECT_EQ(std::get<ExchangeRequest>(part).route->name, "part");
+  const auto whole = router.Admit(Facts("/a/bc", "key"), kStart);
+  ASSERT_EQ(StatusOf(whole), 200);
+  EXPECT_EQ(std::get<ExchangeRequest>(whole).route->name, "whole");
+  EXPECT_EQ(std::get<ExchangeRequest>(whole).customer, CustomerId("c"));
+}
+
+TEST(RequestRouterTest, UnknownKeysAndRoutesAreRefused) {
+  RequestRouter router({});
+  router.Apply(Table(Config(1)), kStart);
+  EXPECT_EQ(StatusOf(router.Admit(Facts("/a/x", "other"), kStart)), 401);
+  EXPECT_EQ(StatusOf(router.Admit(Facts("/x/", "key"), kStart)), 404);
+}
+
+TEST(RequestRouterTest, AnOutdatedConfigurationDeniesNothing) {
+  RequestRouter router({});
+  router.Apply(Table(Config(1)), kStart);
+  const absl::Time later = kStart + absl::Seconds(30);
+  EXPECT_EQ(StatusOf(router.Admit(Facts("/a/x", "other"), later)), 503);
+  EXPECT_EQ(StatusOf(router.Admit(Facts("/x/", "key"), later)), 503);
+  router.Confirm(later);
+  EXPECT_EQ(StatusOf(router.Admit(Facts("/x/", "key"), later)), 404);
+}
+
+TEST(RequestRouterTest, AnOlderVersionIsNeverAppliedAgain) {
+  RequestRouter router({});
+  EXPECT_TRUE(router.Apply(Table(Config(5)), kStart));
+  EXPECT_FALSE(router.Apply(Table(Config(4)), kStart));
+  EXPECT_FALSE(router.Apply(Table(Config(5)), kStart));
+  EXPECT_EQ(router.table()->config().revision, Revision(5));
+  EXPECT_TRUE(router.Apply(Table(Config(9)), kStart));
+}
+
+TEST(RequestRouterTest, RequestsAreSplitByWeight) {
+  RouteConfig config = Config(1);
+  config.routes[0].services = {{.service = ServiceId("x"), .weight = 90},
+                               {.service = ServiceId("y"), .weight = 10}};
+  RequestRouter router({});
+  router.Apply(Table(config), kStart);
+  int to_y = 0;
+  for (int n = 0; n < 1000; ++n) {
+    RequestFacts facts = Facts("/a/x", "key");
+    facts.id = RequestId(absl::StrCat("r", n));
+    const auto admitted = router.Admit(facts, kStart);
+    if (std::get<ExchangeRequest>(admitted).service == ServiceId("y")) ++to_y;
+  }
+  EXPECT_NEAR(to_y, 100, 40);
+}
+
+}  // namespace
+}  // namespace wisteriareel
--- /dev/null
+++ b/test/forward_target_pool_test.cc
@@ -0,0 +1,211 @@
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "src/forward/target_pool.h"
+
+namespace wisteriareel {
+namespace {
+
+using ::testing::IsEmpty;
+using ::testing::SizeIs;
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+TargetEntry Target(int n, const std::string& zone = "a") {
+  return {.id = TargetId(absl::StrCat("t", n)),
+          .service = ServiceId("chat"),
+          .address = {.host = "10.0.0.1",
+                      .port = static_cast<std::uint16_t>(8000 + n)},
+          .zone = ZoneId(zone),
+          .slots = 64};
+}
+
+std::vector<TargetEntry> Targets(int count) {
+  std::vector<TargetEntry> targets;
+  for (int n = 0; n < count; ++n) targets.push_back(Target(n));
+  return targets;
+}
+
+PlacementNeed SharedNeed(const std::string& key) {
+  return {.service = ServiceId("chat"),
+          .shared_key = key,
+          .shared_tokens = Tokens(13000),
+          .own_tokens = Tokens(3000),
+          .engine = true};
+}
+
+TEST(TargetPoolTest, InstancesAgreeOnTheHomeOfASharedPartWithoutMessages) {
+  TargetPool a({.zone = ZoneId("a")});
+  TargetPool b({.zone = ZoneId("a")});
+  a.ApplyListing(Targets(12), kStart);
+  b.ApplyListing(Targets(12), kStart);
+  for (int n = 0; n < 50; ++n) {
+    const PlacementNeed need = SharedNeed(absl::StrCat("part", n));
+    const auto at_a = a.Choose(need, kStart);
+    const auto at_b = b.Choose(need, kStart);
+    ASSERT_TRUE(at_a.has_value() && at_b.has_value());
+    EXPECT_EQ(at_a->target.id, at_b->target.id);
+    a.Finish(*at_a, TargetOutcome::kAnswered, kStart);
+    b.Finish(*at_b, TargetOutcome::kAnswered, kStart);
+  }
+}
+
+TEST(TargetPoolTest, HomesMoveOnlyFromTheTargetThatLeft) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(12), kStart);
+  std::vector<TargetId> before;
+  for (int n = 0; n < 40; ++n) {
+    const auto placement =
+        pool.Choose(SharedNeed(absl::StrCat("part", n)), kStart);
+    before.push_back(placement->target.id);
+    pool.Finish(*placement, TargetOutcome::kAnswered, kStart);
+  }
+  TargetPool smaller({.zone = ZoneId("a")});
+  smaller.ApplyListing(Targets(11), kStart);
+  for (int n = 0; n < 40; ++n) {
+    if (before[n] == TargetId("t11")) continue;
+    const auto placement =
+        smaller.Choose(SharedNeed(absl::StrCat("part", n)), kStart);
+    EXPECT_EQ(placement->target.id, before[n]);
+    smaller.Finish(*placement, TargetOutcome::kAnswered, kStart);
+  }
+}
+
+TEST(TargetPoolTest, AHotPartSpreadsOverSeveralTargets) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(12), kStart);
+  std::set<TargetId> used;
+  for (int n = 0; n < 60; ++n) {
+    used.insert(pool.Choose(SharedNeed("hot"), kStart)->target.id);
+  }
+  EXPECT_GE(used.size(), 3U);
+}
+
+TEST(TargetPoolTest, ADrainingTargetGetsNothingFromTheListingOn) {
+  TargetPool pool({.zone = ZoneId("a")});
+  std::vector<TargetEntry> targets = Targets(2);
+  pool.ApplyListing(targets, kStart);
+  targets[0].draining = true;
+  pool.ApplyListing(targets, kStart);
+  for (int n = 0; n < 20; ++n) {
+    EXPECT_EQ(pool.Choose(SharedNeed(absl::StrCat(n)), kStart)->target.id,
+              TargetId("t1"));
+  }
+}
+
+TEST(TargetPoolTest, AMissingTargetIsGoneAtOnceWhileTheListIsThere) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(2), kStart);
+  const auto changes = pool.ApplyListing(Targets(1), kStart + absl::Seconds(1));
+  EXPECT_THAT(changes, SizeIs(1));
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), kStart + absl::Seconds(1)), 1);
+}
+
+// Seen on a played day: an instance was cut off from the store for 8 s while
+// a target left, and went on using it 3.4 s after it had said so.
+TEST(TargetPoolTest, AfterACutAMissingTargetIsDroppedBeforeTheInstanceIsBound) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(2), kStart);
+  const absl::Time back = kStart + absl::Seconds(8);
+  pool.ApplyListing(Targets(1), back);
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), back), 2);
+  // No further listing is needed for the grace to end.
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), back + absl::Seconds(2)), 1);
+}
+
+TEST(TargetPoolTest, AnOutageOfTheListIsNoDeath) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(3), kStart);
+  const absl::Time later = kStart + absl::Seconds(20);
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), later), 3);
+  // Entries that lapsed meanwhile come back with the next heartbeats.
+  pool.ApplyListing({}, later);
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), later), 3);
+  pool.ApplyListing(Targets(3), later + absl::Seconds(1));
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), later + absl::Seconds(5)), 3);
+}
+
+TEST(TargetPoolTest, ATargetThatFailsFastIsEjectedAndTriedAgain) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(4), kStart);
+  const PlacementNeed need = SharedNeed("part");
+  const auto home = pool.Choose(need, kStart);
+  const TargetId bad = home->target.id;
+  pool.Finish(*home, TargetOutcome::kAnswered, kStart);
+  absl::Time now = kStart;
+  int to_bad = 0;
+  for (int n = 0; n < 200; ++n) {
+    now += absl::Milliseconds(5);
+    const auto placement = pool.Choose(need, now);
+    const bool is_bad = placement->target.id == bad;
+    to_bad += is_bad ? 1 : 0;
+    pool.Finish(*placement,
+                is_bad ? TargetOutcome::kFailed : TargetOutcome::kAnswered,
+                now);
+  }
+  EXPECT_LE(to_bad, 8);
+  // It is well again: one request at a time finds out.
+  now += absl::Seconds(10);
+  const auto trial = pool.Choose(need, now);
+  ASSERT_EQ(trial->target.id, bad);
+  EXPECT_NE(pool.Choose(need, now)->target.id, bad);
+  const auto change = pool.Finish(*trial, TargetOutcome::kAnswered, now);
+  ASSERT_TRUE(change.has_value());
+  EXPECT_EQ(change->kind, TargetChange::Kind::kBack);
+}
+
+TEST(TargetPoolTest, EjectionNeverTakesTheLastTarget) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(2), kStart);
+  for (int n = 0; n < 50; ++n) {
+    const auto placement = pool.Choose(SharedNeed("part"), kStart);
+    ASSERT_TRUE(placement.has_value());
+    pool.Finish(*placement, TargetOutcome::kUnreachable, kStart);
+  }
+}
+
+TEST(TargetPoolTest, FailuresOfAllTargetsEjectNone) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(6), kStart);
+  for (int n = 0; n < 60; ++n) {
+    const auto placement =
+        pool.Choose(SharedNeed(absl::StrCat("part", n)), kStart);
+    pool.Finish(*placement,
+                n % 7 == 0 ? TargetOutcome::kFailed : TargetOutcome::kAnswered,
+                kStart);
+  }
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), kStart), 6);
+}
+
+TEST(TargetPoolTest, ARestartUnderTheSameIdForgetsWhatWasSeen) {
+  TargetPool pool({.zone = ZoneId("a")});
+  std::vector<TargetEntry> targets = Targets(2);
+  pool.ApplyListing(targets, kStart);
+  targets[0].started_ms = 17;
+  const auto changes = pool.ApplyListing(targets, kStart);
+  ASSERT_THAT(changes, SizeIs(1));
+  EXPECT_EQ(changes[0].kind, TargetChange::Kind::kRestarted);
+}
+
+TEST(TargetPoolTest, TriedTargetsAreNotChosenAgain) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(1), kStart);
+  PlacementNeed need = SharedNeed("part");
+  need.tried = {TargetId("t0")};
+  EXPECT_EQ(pool.Choose(need, kStart), std::nullopt);
+}
+
+TEST(TargetPoolTest, TheOwnZoneIsPreferredForPlainRequests) {
+  TargetPool pool({.zone = ZoneId("b")});
+  std::vector<TargetEntry> targets = {Target(0, "a"), Target(1, "b")};
+  pool.ApplyListing(targets, kStart);
+  const PlacementNeed need{.service = ServiceId("chat")};
+  EXPECT_EQ(pool.Choose(need, kStart)->target.id, TargetId("t1"));
+}
+
+}  // namespace
+}  // namespace wisteriareel
--- /dev/null
+++ b/test/forward_tests.cmake
@@ -0,0 +1,5 @@
+wisteriareel_test(forward_target_pool_test LIBRARIES wisteriareel_forward)
+wisteriareel_test(forward_small_test LIBRARIES wisteriareel_forward)
+wisteriareel_test(forward_prepaid_ledger_test
+  LIBRARIES wisteriareel_forward rapidcheck rapidcheck_gtest)
+wisteriareel_test(forward_exchange_test LIBRARIES wisteriareel_forward)
