Give each budget a home instance that draws ahead and lends

A grant lowered the target it was to meet, so that homes granted and returned in turn. Change: the instance with the best rendezvous rank holds a customer's tokens ahead of need; others borrow from it, and order for themselves only when it can't help. Targets count what is held. Heartbeats slow down with the fleet.

--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "wisteriareel/stable_hash.h"
 
 namespace wisteriareel {
 namespace {
@@ -17,27 +18,38 @@
 constexpr absl::Duration kRateMemory = absl::Seconds(4);
 // An order is due when less than this share of the target is free.
 constexpr double kRefillShare = 0.6;
-// An instance that has seen no request holds this share of its even part.
+// A home that has seen no request holds one part in this many of a budget.
 constexpr int kIdleShare = 8;
-// All instances together hold at most one part in this many of what is left in
-// the pool, beside what is reserved: what is held elsewhere is of no use to a
-// request here, and what a killed instance held is lost. A scarce budget is
-// so granted request by request.
-constexpr int kPoolDivisor = 1;
+// A home holds at most this part of what isn't reserved or settled: what it
+// holds is of no use where it can't be reached.
+constexpr int kHeldPercent = 60;
 // Less than one part in this many of a budget isn't worth an order to return
 // it.
 constexpr int kCrumbDivisor = 1000;
 // Settled tokens are reported at least this often, so that others can tell an
 // exhausted budget from one that is held elsewhere.
-constexpr absl::Duration kReportInterval = absl::Seconds(2);
+// The more instances there are, the less often each reports.
+constexpr absl::Duration kLeastReportInterval = absl::Seconds(2);
+constexpr absl::Duration kReportPerInstance = absl::Milliseconds(100);
+// Instances that only borrow report this many times less often, so that the
+// home's orders rarely conflict.
+constexpr int kBorrowerReports = 2;
+// First orders of instances that start together are spread over this time.
+constexpr absl::Duration kStartSpread = absl::Milliseconds(2500);
+// Orders that conflict are sent again after a random share of this time, which
+// doubles from conflict to conflict: about one transaction of the table.
+constexpr absl::Duration kConflictWait = absl::Milliseconds(8);
+constexpr int kMaxConflictDoublings = 6;
+constexpr double kTypicalWeight = 0.2;
 // A pool found empty is asked again after this time.
 constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(400);
 // Others are asked again this long after they couldn't lend enough.
 constexpr absl::Duration kLoanInterval = absl::Milliseconds(400);
-// A lender keeps what it needs for this time; a borrower asks for a little
-// more, so that not every request has to ask.
-constexpr absl::Duration kLenderReserve = absl::Milliseconds(300);
+// A borrower asks for what it needs within this time beside what waits, so
+// that not every request has to ask.
 constexpr absl::Duration kBorrowAhead = absl::Milliseconds(600);
+// A borrower returns what it doesn't need within this time.
+constexpr absl::Duration kBorrowerKeeps = absl::Seconds(4);
 // What is authorised lasts this much longer than the time after which the
 // reserve may be used.
 constexpr absl::Duration kAuthorisedMargin = absl::Milliseconds(500);
@@ -68,15 +80,31 @@
           .key = absl::StrCat("holder/", options_.instance)};
 }
 
-void PrepaidLedger::SetBudgets(const RouteConfig& config) {
+void PrepaidLedger::SetBudgets(const RouteConfig& config, absl::Time now) {
   for (auto& [id, account] : accounts_) account.prepaid = std::nullopt;
   for (const CustomerSpec& customer : config.customers) {
-    Account& account = accounts_[customer.id];
+    const auto [it, added] = accounts_.try_emplace(customer.id);
+    Account& account = it->second;
+    const bool changed = account.prepaid != customer.prepaid;
     account.prepaid = customer.prepaid;
-    account.next_order = absl::InfinitePast();
+    if (!changed) continue;
+    account.pool_empty = false;
+    // All instances learn of a budget at the same time, but only those with
+    // requests need it at once.
+    account.next_order =
+        now + (added ? Spread() * kStartSpread : absl::ZeroDuration());
   }
 }
 
+double PrepaidLedger::Spread() {
+  return static_cast<double>(StableHash(options_.life, ++spreads_) >> 11) *
+         0x1.0p-53;
+}
+
+absl::Duration PrepaidLedger::ReportInterval() const {
+  return std::max(kLeastReportInterval, instances_ * kReportPerInstance);
+}
+
 void PrepaidLedger::SetInstances(int count) { instances_ = std::max(1, count); }
 
 void PrepaidLedger::NoteContact(absl::Time sent) {
@@ -130,6 +158,8 @@
   Account& account = accounts_[customer];
   if (!account.prepaid.has_value()) return ReserveResult::kReserved;
   const std::int64_t amount = most.value();
+  account.typical += static_cast<std::int64_t>(
+      kTypicalWeight * static_cast<double>(amount - account.typical));
   if (FreeOf(account, now) >= amount) {
     account.reserved += amount;
     NoteUse(&account, amount, now);
@@ -146,16 +176,24 @@
   account.least_wanted = account.least_wanted == 0
                              ? amount
                              : std::min(account.least_wanted, amount);
-  if (!account.platform_away && !account.pool_empty) {
+  return ReserveLater(&account, now);
+}
+
+ReserveResult PrepaidLedger::ReserveLater(Account* account, absl::Time now) {
+  const bool can_order = !account->platform_away &&
+                         (!account->pool_empty || account->next_order <= now);
+  if (account->home && can_order) return ReserveResult::kWait;
+  if (account->loan_in_flight) return ReserveResult::kWait;
+  if (account->next_loan <= now) {
+    account->loan_wanted = true;
     return ReserveResult::kWait;
   }
-  if (account.loan_in_flight) return ReserveResult::kWait;
-  if (account.next_loan <= now) {
-    account.loan_wanted = true;
+  if (can_order) {
+    account->order_allowed = true;
     return ReserveResult::kWait;
   }
-  return account.platform_away ? ReserveResult::kPlatformAway
-                               : ReserveResult::kHeldElsewhere;
+  return account->platform_away ? ReserveResult::kPlatformAway
+                                : ReserveResult::kHeldElsewhere;
 }
 
 void PrepaidLedger::Settle(const CustomerId& customer, Tokens most, Tokens used,
@@ -178,16 +216,19 @@
 
 std::int64_t PrepaidLedger::TargetOf(const Account& account,
                                      absl::Time now) const {
-  if (giving_up_) return 0;
+  if (giving_up_ || !account.home) return 0;
   const std::int64_t prepaid = account.prepaid->value();
   const std::int64_t available = prepaid - account.pool.granted;
   const double by_rate =
       RateOf(account, now) * absl::ToDoubleSeconds(options_.horizon);
-  const std::int64_t target = std::max(static_cast<std::int64_t>(by_rate),
-                                       prepaid / (kIdleShare * instances_));
-  return std::clamp<std::int64_t>(
-      target, 0,
-      std::max<std::int64_t>(0, available) / (kPoolDivisor * instances_));
+  const std::int64_t target =
+      std::max(static_cast<std::int64_t>(by_rate), prepaid / kIdleShare);
+  // What is held counts too, or a grant would lower the target that it meets.
+  const std::int64_t held =
+      std::max<std::int64_t>(0, account.own.granted - UsedOf(account));
+  const std::int64_t most =
+      (std::max<std::int64_t>(0, available) + held) * kHeldPercent / 100;
+  return std::clamp<std::int64_t>(target, 0, most);
 }
 
 std::int64_t PrepaidLedger::AheadOf(const Account& account,
@@ -196,10 +237,13 @@
   const absl::Duration time = options_.reserve_after + kAuthorisedMargin;
   const double by_rate = RateOf(account, now) * absl::ToDoubleSeconds(time);
   // An instance without requests so far authorises in the same proportion.
-  const double idle = static_cast<double>(account.prepaid->value()) /
-                      (kIdleShare * instances_) *
-                      absl::FDivDuration(time, options_.horizon);
-  return static_cast<std::int64_t>(std::max(by_rate, idle));
+  const double idle =
+      account.home ? static_cast<double>(account.prepaid->value()) /
+                         kIdleShare * absl::FDivDuration(time, options_.horizon)
+                   : 0;
+  const bool busy = now - account.rate_at < 2 * options_.horizon;
+  return std::max(static_cast<std::int64_t>(std::max(by_rate, idle)),
+                  busy ? account.typical : 0);
 }
 
 std::int64_t PrepaidLedger::PlanGrant(const Account& account,
@@ -227,7 +271,12 @@
   const std::int64_t held = account.own.granted - UsedOf(account);
   if (giving_up_) return std::max<std::int64_t>(0, held);
   if (account.wanted > 0) return 0;
-  const std::int64_t target = TargetOf(account, now);
+  const std::int64_t target =
+      account.home ? TargetOf(account, now)
+                   : std::max(account.typical,
+                              static_cast<std::int64_t>(
+                                  RateOf(account, now) *
+                                  absl::ToDoubleSeconds(kBorrowerKeeps)));
   const std::int64_t spare = held - target;
   const std::int64_t crumb = account.prepaid->value() / kCrumbDivisor;
   return spare > std::max(target, crumb) ? spare : 0;
@@ -240,7 +289,11 @@
   const std::int64_t give_back = grant > 0 ? 0 : PlanReturn(account, now);
   const std::int64_t report = account.settled - account.own.settled;
   const bool report_due =
-      report > 0 && (giving_up_ || account.next_order + kReportInterval <= now);
+      report > 0 &&
+      (giving_up_ ||
+       account.next_order +
+               ReportInterval() * (account.home ? 1 : kBorrowerReports) <=
+           now);
   const std::int64_t used = UsedOf(account);
   Order order;
   order.own = {.granted = account.own.granted + grant - give_back,
@@ -278,7 +331,10 @@
   std::vector<LedgerOrder> orders;
   for (auto& [id, account] : accounts_) {
     if (!account.prepaid.has_value() || account.in_flight) continue;
-    if (account.next_order > now) continue;
+    // A request that waits doesn't wait for the spreading of first orders.
+    const bool urgent = account.wanted > 0 && !account.pool_known;
+    if (account.next_order > now && !urgent) continue;
+    if (!account.home && account.wanted > 0 && !account.order_allowed) continue;
     if (!account.order.has_value()) account.order = Plan(id, account, now);
     if (!account.order.has_value()) continue;
     account.in_flight = true;
@@ -337,7 +393,7 @@
     account.platform_away = true;
     account.backoff =
         std::clamp(account.backoff * 2, kFirstBackoff, kLongestBackoff);
-    account.next_order = now + account.backoff;
+    account.next_order = now + account.backoff * (0.5 + Spread());
     return;
   }
   account.platform_away = false;
@@ -349,11 +405,17 @@
     account.own_version = reply.version;
     account.pool_known = true;
     account.inherited = true;
+    account.conflicts = 0;
   } else {
     Adopt(&account, reply.current);
+    account.conflicts = std::min(account.conflicts + 1, kMaxConflictDoublings);
   }
   account.order.reset();
+  account.order_allowed = false;
   account.next_order = now;
+  if (account.conflicts > 1) {
+    account.next_order += Spread() * kConflictWait * (1 << account.conflicts);
+  }
   const std::int64_t available =
       account.prepaid.value_or(Tokens(0)).value() - account.pool.granted;
   account.pool_empty =
@@ -392,18 +454,23 @@
           .reserved_here = Tokens(account.reserved)};
 }
 
+void PrepaidLedger::SetHomes(
+    const std::function<bool(const CustomerId&)>& is_home) {
+  for (auto& [id, account] : accounts_) account.home = is_home(id);
+}
+
 Tokens PrepaidLedger::Lend(const CustomerId& customer, Tokens wanted,
-                           absl::Time now) {
+                           Tokens least, absl::Time now) {
   const auto it = accounts_.find(customer);
   if (it == accounts_.end() || !it->second.prepaid.has_value()) {
     return Tokens(0);
   }
   Account& account = it->second;
-  const auto own_need = static_cast<std::int64_t>(
-      RateOf(account, now) * absl::ToDoubleSeconds(kLenderReserve));
-  const std::int64_t spare = FreeOf(account, now) - own_need;
+  // What others need counts as demand, also where it can't be lent yet.
+  NoteUse(&account, wanted.value(), now);
   const std::int64_t amount = std::clamp<std::int64_t>(
-      spare, 0, std::max<std::int64_t>(0, wanted.value()));
+      FreeOf(account, now), 0, std::max<std::int64_t>(0, wanted.value()));
+  if (amount < least.value()) return Tokens(0);
   account.lent += amount;
   return Tokens(amount);
 }
@@ -414,12 +481,14 @@
     if (!account.loan_wanted || account.loan_in_flight) continue;
     account.loan_wanted = false;
     account.loan_in_flight = true;
+    const std::int64_t free = std::max<std::int64_t>(0, FreeOf(account, now));
     const auto ahead = static_cast<std::int64_t>(
         RateOf(account, now) * absl::ToDoubleSeconds(kBorrowAhead));
     requests.push_back(
         {.customer = id,
-         .amount = Tokens(account.wanted + ahead -
-                          std::max<std::int64_t>(0, FreeOf(account, now)))});
+         .amount = Tokens(account.wanted + ahead - free),
+         .least = Tokens(account.least_wanted - free),
+         .from_anyone = account.platform_away || account.pool_empty});
   }
   return requests;
 }
@@ -428,12 +497,11 @@
   accounts_[customer].lent -= amount.value();
 }
 
-void PrepaidLedger::CompleteLoan(const CustomerId& customer, absl::Time now) {
+void PrepaidLedger::CompleteLoan(const CustomerId& customer, bool enough,
+                                 absl::Time now) {
   Account& account = accounts_[customer];
   account.loan_in_flight = false;
-  account.next_loan = account.least_wanted > FreeOf(account, now)
-                          ? now + kLoanInterval
-                          : absl::InfinitePast();
+  account.next_loan = enough ? absl::InfinitePast() : now + kLoanInterval;
   account.wanted = 0;
   account.least_wanted = 0;
 }
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -2,6 +2,7 @@
 #define WISTERIAREEL_SRC_FORWARD_PREPAID_LEDGER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -52,6 +53,10 @@
 struct LoanRequest {
   CustomerId customer;
   Tokens amount;
+  // Less than this is of no use.
+  Tokens least;
+  // The platform can't grant them: any instance may help, with any part.
+  bool from_anyone = false;
 
   friend bool operator==(const LoanRequest&, const LoanRequest&) = default;
 };
@@ -74,8 +79,10 @@
 //
 // Of what is granted only the authorised part may be used; the rest is a
 // reserve for outages, used once the platform hasn't answered for
-// `reserve_after`. The next life of an instance takes over the row: if it can
-// show that its predecessor ended before that time was over, the reserve is
+// `reserve_after`. One instance, the home, draws a customer's tokens from the
+// platform ahead of need and lends them to the others, so that the pool row has
+// one writer as a rule. The next life of an instance takes over the row: if it
+// can show that its predecessor ended before that time was over, the reserve is
 // its own again; otherwise all that was granted counts as used. Not
 // thread-safe; opens no connection.
 class PrepaidLedger {
@@ -93,7 +100,11 @@
   bool WithinAuthorised() const;
 
   // Takes the budgets of `config`. Customers without one are unlimited.
-  void SetBudgets(const RouteConfig& config);
+  void SetBudgets(const RouteConfig& config, absl::Time now);
+
+  // Sets for which customers this instance is the home: the one that draws
+  // from the platform ahead of need, and lends to the others.
+  void SetHomes(const std::function<bool(const CustomerId&)>& is_home);
 
   // Sets the number of instances that draw on each budget, at least 1.
   void SetInstances(int count);
@@ -134,10 +145,11 @@
   };
   View ViewOf(const CustomerId& customer) const;
 
-  // Takes up to `wanted` tokens out of this ledger for another instance,
-  // leaving what this one needs itself within the next moments. Returns the
-  // amount. A loan whose answer is lost stays out of use.
-  Tokens Lend(const CustomerId& customer, Tokens wanted, absl::Time now);
+  // Takes up to `wanted` tokens out of this ledger for another instance, or
+  // none if less than `least` are free. Returns the amount. A loan whose
+  // answer is lost stays out of use.
+  Tokens Lend(const CustomerId& customer, Tokens wanted, Tokens least,
+              absl::Time now);
 
   // Returns the loans that are wanted. Each must be answered by any number of
   // Borrow and one CompleteLoan.
@@ -146,8 +158,9 @@
   // Adds tokens lent by another instance.
   void Borrow(const CustomerId& customer, Tokens amount);
 
-  // All instances that were asked have answered, or were waited for.
-  void CompleteLoan(const CustomerId& customer, absl::Time now);
+  // All instances that were asked have answered, or were waited for. `enough`
+  // says whether at least what was needed was lent.
+  void CompleteLoan(const CustomerId& customer, bool enough, absl::Time now);
 
  private:
   struct Pool {
@@ -189,6 +202,10 @@
     double recent = 0;
     absl::Time rate_at = absl::InfinitePast();
     std::optional<Order> order;
+    // Conflicts in a row.
+    int conflicts = 0;
+    // Smoothed worst case of a request.
+    std::int64_t typical = 0;
     bool in_flight = false;
     absl::Time next_order = absl::InfinitePast();
     absl::Duration backoff;
@@ -197,6 +214,9 @@
     bool platform_away = false;
     // The pool was found too small for what waits.
     bool pool_empty = false;
+    bool home = true;
+    // The home couldn't help: the platform may be asked for what waits.
+    bool order_allowed = false;
     bool loan_wanted = false;
     bool loan_in_flight = false;
     // The last loans didn't suffice; no others are asked for until then.
@@ -216,7 +236,12 @@
   std::optional<Order> Plan(const CustomerId& id, const Account& account,
                             absl::Time now) const;
   std::int64_t PlanGrant(const Account& account, absl::Time now) const;
+  ReserveResult ReserveLater(Account* account, absl::Time now);
   std::int64_t PlanReturn(const Account& account, absl::Time now) const;
+  // Returns a number in [0, 1) that differs from call to call and from
+  // instance to instance, so that instances don't act at the same moment.
+  double Spread();
+  absl::Duration ReportInterval() const;
   void Adopt(Account* account, const std::vector<PartRow>& rows);
   void Inherit(Account* account);
   static PartRowKey PoolKey(const CustomerId& id);
@@ -224,6 +249,7 @@
 
   const PrepaidLedgerOptions options_;
   int instances_ = 1;
+  std::uint64_t spreads_ = 0;
   bool giving_up_ = false;
   InheritedUse inherited_use_ = InheritedUse::kAll;
   absl::Time last_contact_ = absl::InfinitePast();
--- a/src/router/member_watch.cc
+++ b/src/router/member_watch.cc
@@ -1,11 +1,13 @@
 #include "src/router/member_watch.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "wisteriareel/stable_hash.h"
 
 namespace wisteriareel {
 namespace {
@@ -46,6 +48,7 @@
 }
 
 void MemberWatch::Start() {
+  started_ = scheduler_->Now();
   owner_->OnInstancesCounted(options_.assumed);
   ReadPast();
 }
@@ -75,7 +78,9 @@
 
 void MemberWatch::Beat() {
   if (leaving_) return;
-  scheduler_->After(options_.interval, [this] { Beat(); });
+  scheduler_->After(
+      std::max(options_.interval, alive_ * options_.interval_per_instance),
+      [this] { Beat(); });
   const std::optional<std::int64_t> contact = owner_->ContactToTell();
   if (contact.has_value()) heartbeat_.contact_ms = *contact;
   ++heartbeat_.number;
@@ -124,7 +129,10 @@
       ++alive;
     }
   }
-  owner_->OnInstancesCounted(alive);
+  alive_ = std::max(1, alive);
+  const bool starting = now - started_ < options_.assumed_for;
+  owner_->OnInstancesCounted(starting ? std::max(alive_, options_.assumed)
+                                      : alive_);
   if (!removal.writes.empty()) {
     table_->Commit(removal, [](const CommitReply&) {});
   }
@@ -139,6 +147,20 @@
   return others;
 }
 
+std::optional<Endpoint> MemberWatch::HomeOf(const std::string& topic) const {
+  const std::uint64_t seed = StableHash(topic);
+  std::uint64_t best = StableHash(options_.self.value(), seed);
+  std::optional<Endpoint> home;
+  for (const auto& [name, member] : members_) {
+    if (listed_at_ - member.changed_at > options_.home_silence) continue;
+    const std::uint64_t rank = StableHash(name, seed);
+    if (rank <= best) continue;
+    best = rank;
+    home = member.address;
+  }
+  return home;
+}
+
 void MemberWatch::Leave() {
   leaving_ = true;
   table_->Commit({.writes = {{.key = RowOf(options_.self.value())}}},
--- a/src/router/member_watch.h
+++ b/src/router/member_watch.h
@@ -21,16 +21,24 @@
   // Time between two heartbeats. Well below the time after which the reserve
   // of prepaid tokens may be used, since they show that it wasn't.
   absl::Duration interval = absl::Milliseconds(500);
+  // The more instances there are, the longer the interval: this much for each
+  // of them, so that all together write at most a hundred times a second.
+  absl::Duration interval_per_instance = absl::Milliseconds(10);
   // Time between two listings.
   absl::Duration listing_interval = absl::Seconds(3);
   // An instance whose heartbeat stands still for this long isn't counted:
   // longer than the platform's outages, since counting too few would let all
   // together repeat too much.
   absl::Duration silence = absl::Seconds(15);
+  // An instance whose heartbeat stands still for this long is no home, unless
+  // the list itself can't be read.
+  absl::Duration home_silence = absl::Seconds(5);
   // Rows that stand still for this long are removed.
   absl::Duration removal = absl::Minutes(5);
-  // Assumed until the instances were listed.
+  // Assumed at least while instances that start together may not have told of
+  // themselves yet.
   int assumed = 16;
+  absl::Duration assumed_for = absl::Seconds(5);
 };
 
 // What an instance's heartbeat says.
@@ -77,6 +85,11 @@
   // Returns the addresses of the other instances that were last alive.
   std::vector<Endpoint> Others() const;
 
+  // Returns the address of the instance that `topic` belongs to by rendezvous
+  // rank, or nullopt if that is this one. Instances that know the same ones
+  // agree.
+  std::optional<Endpoint> HomeOf(const std::string& topic) const;
+
  private:
   struct Member {
     std::uint64_t version = 0;
@@ -96,6 +109,8 @@
   MemberWatchOwner* const owner_;
   bool leaving_ = false;
   Heartbeat heartbeat_;
+  absl::Time started_;
+  int alive_ = 1;
   absl::Time listed_at_ = absl::InfinitePast();
   std::map<std::string, Member> members_;
 };
--- a/src/router/peer_loans.cc
+++ b/src/router/peer_loans.cc
@@ -1,10 +1,10 @@
 #include "src/router/peer_loans.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 namespace wisteriareel {
 namespace {
@@ -16,80 +16,111 @@
 
 PeerLoans::PeerLoans(PeerLoansOptions options, boost::asio::io_context* io,
                      Scheduler* scheduler, RandomSource* random,
-                     PrepaidLedger* ledger, EventLog* log,
-                     std::function<std::vector<Endpoint>()> peers,
-                     std::function<void(const CustomerId&)> changed)
+                     PrepaidLedger* ledger, EventLog* log, LoanPeers* peers)
     : options_(options),
       io_(io),
       scheduler_(scheduler),
       random_(random),
       ledger_(ledger),
       log_(log),
-      peers_(std::move(peers)),
-      changed_(std::move(changed)) {}
+      peers_(peers) {}
 
 void PeerLoans::Poke() {
   for (const LoanRequest& request :
        ledger_->TakeLoanRequests(scheduler_->Now())) {
     const auto round = std::make_shared<Round>();
     round->request = request;
-    std::vector<Endpoint> peers = peers_();
-    round->open =
-        std::min<int>(options_.fanout, static_cast<int>(peers.size()));
-    if (round->open == 0) {
-      scheduler_->After(absl::ZeroDuration(), [this, round] { End(*round); });
-      continue;
-    }
-    for (int n = 0; n < options_.fanout && !peers.empty(); ++n) {
-      const std::size_t pick = random_->Below(peers.size());
-      Ask(peers[pick], round);
-      peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(pick));
-    }
+    AskHome(round);
   }
 }
 
+void PeerLoans::AskHome(const std::shared_ptr<Round>& round) {
+  const std::optional<Endpoint> home = peers_->HomeOf(round->request.customer);
+  round->home_asked = true;
+  round->open = 1;
+  const auto silent = home.has_value() ? silent_.find(*home) : silent_.end();
+  const bool skip = !home.has_value() || (silent != silent_.end() &&
+                                          silent->second > scheduler_->Now());
+  if (!skip) {
+    Ask(*home, round);
+    return;
+  }
+  // The ledger expects no answer from within its call.
+  scheduler_->After(absl::ZeroDuration(), [this, round] { Continue(round); });
+}
+
+void PeerLoans::AskAnyone(const std::shared_ptr<Round>& round) {
+  std::vector<Endpoint> peers = peers_->Peers();
+  round->open = 1;
+  for (int n = 0; n < options_.fanout && !peers.empty(); ++n) {
+    const std::size_t pick = random_->Below(peers.size());
+    ++round->open;
+    Ask(peers[pick], round);
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+  scheduler_->After(absl::ZeroDuration(), [this, round] { Continue(round); });
+}
+
 void PeerLoans::Ask(const Endpoint& peer, const std::shared_ptr<Round>& round) {
   if (callers_.size() >= kMaxCallers) callers_.clear();
   std::unique_ptr<HttpCaller>& caller = callers_[peer];
   if (caller == nullptr) caller = std::make_unique<HttpCaller>(io_, peer);
+  const LoanRequest& request = round->request;
   caller->Start(
       {.method = "POST",
-       .target = absl::StrCat(kPeerLoanPath, round->request.amount.value(), "/",
-                              round->request.customer.value()),
+       .target = absl::StrCat(kPeerLoanPath, request.amount.value(), "/",
+                              request.from_anyone ? 0 : request.least.value(),
+                              "/", request.customer.value()),
        .timeout = options_.timeout},
-      [this, round](const std::optional<HttpReply>& reply) {
+      [this, peer, round](const std::optional<HttpReply>& reply) {
+        silent_.erase(peer);
+        if (!reply.has_value()) {
+          silent_[peer] = scheduler_->Now() + options_.silence;
+        }
         std::int64_t amount = 0;
         if (reply.has_value() && reply->status == 200 &&
             absl::SimpleAtoi(reply->body, &amount) && amount > 0) {
           ledger_->Borrow(round->request.customer, Tokens(amount));
           round->lent += amount;
-          changed_(round->request.customer);
+          peers_->OnLedgerChanged(round->request.customer);
         }
-        if (--round->open == 0) End(*round);
+        Continue(round);
       });
 }
 
-void PeerLoans::End(const Round& round) {
-  ledger_->CompleteLoan(round.request.customer, scheduler_->Now());
-  log_->Write(EventId::kTokensBorrowed, Severity::kInfo,
+// One of the questions of a round has ended.
+void PeerLoans::Continue(const std::shared_ptr<Round>& round) {
+  if (--round->open > 0) return;
+  const LoanRequest& request = round->request;
+  if (round->home_asked && request.from_anyone &&
+      round->lent < request.least.value()) {
+    round->home_asked = false;
+    AskAnyone(round);
+    return;
+  }
+  ledger_->CompleteLoan(request.customer, round->lent >= request.least.value(),
+                        scheduler_->Now());
+  log_->Write(EventId::kTokensBorrowed, Severity::kDebug,
               "tokens borrowed from other instances",
-              {{"customer", round.request.customer.value()},
-               {"wanted", absl::StrCat(round.request.amount.value())},
-               {"lent", absl::StrCat(round.lent)}});
-  changed_(round.request.customer);
+              {{"customer", request.customer.value()},
+               {"wanted", absl::StrCat(request.amount.value())},
+               {"lent", absl::StrCat(round->lent)}});
+  peers_->OnLedgerChanged(request.customer);
 }
 
 std::optional<std::string> PeerLoans::AnswerLoan(const std::string& query,
                                                  PrepaidLedger* ledger,
                                                  absl::Time now) {
-  const std::size_t slash = query.find('/');
+  const std::vector<std::string> fields =
+      absl::StrSplit(query, absl::MaxSplits('/', 2));
   std::int64_t wanted = 0;
-  if (slash == std::string::npos ||
-      !absl::SimpleAtoi(query.substr(0, slash), &wanted)) {
+  std::int64_t least = 0;
+  if (fields.size() != 3 || !absl::SimpleAtoi(fields[0], &wanted) ||
+      !absl::SimpleAtoi(fields[1], &least)) {
     return std::nullopt;
   }
   return absl::StrCat(
-      ledger->Lend(CustomerId(query.substr(slash + 1)), Tokens(wanted), now)
+      ledger->Lend(CustomerId(fields[2]), Tokens(wanted), Tokens(least), now)
           .value());
 }
 
--- a/src/router/peer_loans.h
+++ b/src/router/peer_loans.h
@@ -1,7 +1,6 @@
 #ifndef WISTERIAREEL_SRC_ROUTER_PEER_LOANS_H_
 #define WISTERIAREEL_SRC_ROUTER_PEER_LOANS_H_
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,18 +23,30 @@
   int fanout = 8;
   // A loan has to come within a caller's patience for its first token.
   absl::Duration timeout = absl::Milliseconds(200);
+  // An instance that didn't answer isn't asked for this long.
+  absl::Duration silence = absl::Seconds(2);
 };
 
-// Borrows prepaid tokens from other instances while the platform can't grant
-// them. Not thread-safe.
+// Knows whom to ask for loans.
+class LoanPeers {
+ public:
+  virtual ~LoanPeers() = default;
+
+  // Returns the home of the customer's tokens, unless that is this instance.
+  virtual std::optional<Endpoint> HomeOf(const CustomerId& customer) const = 0;
+  virtual std::vector<Endpoint> Peers() const = 0;
+  // A customer's tokens may have changed.
+  virtual void OnLedgerChanged(const CustomerId& customer) = 0;
+};
+
+// Borrows prepaid tokens from other instances: from their home as a rule, and
+// from all while the platform can't grant them. Not thread-safe.
 class PeerLoans {
  public:
-  // The pointers outlive this. `peers` says whom to ask; `changed` runs when
-  // a customer's tokens may have changed.
+  // The pointers outlive this.
   PeerLoans(PeerLoansOptions options, boost::asio::io_context* io,
             Scheduler* scheduler, RandomSource* random, PrepaidLedger* ledger,
-            EventLog* log, std::function<std::vector<Endpoint>()> peers,
-            std::function<void(const CustomerId&)> changed);
+            EventLog* log, LoanPeers* peers);
 
   // Asks for the loans that the ledger wants.
   void Poke();
@@ -48,12 +59,16 @@
  private:
   struct Round {
     LoanRequest request;
+    // Whether the home has been asked already.
+    bool home_asked = false;
     int open = 0;
     std::int64_t lent = 0;
   };
 
+  void AskHome(const std::shared_ptr<Round>& round);
+  void AskAnyone(const std::shared_ptr<Round>& round);
   void Ask(const Endpoint& peer, const std::shared_ptr<Round>& round);
-  void End(const Round& round);
+  void Continue(const std::shared_ptr<Round>& round);
 
   const PeerLoansOptions options_;
   boost::asio::io_context* const io_;
@@ -61,12 +76,14 @@
   RandomSource* const random_;
   PrepaidLedger* const ledger_;
   EventLog* const log_;
-  const std::function<std::vector<Endpoint>()> peers_;
-  const std::function<void(const CustomerId&)> changed_;
+  LoanPeers* const peers_;
+  // Instances that didn't answer, and until when they aren't asked.
+  std::map<Endpoint, absl::Time> silent_;
   std::map<Endpoint, std::unique_ptr<HttpCaller>> callers_;
 };
 
-// Path of the question for a loan; tokens, a slash and the customer follow.
+// Path of the question for a loan. The tokens wanted, the least that are of
+// use, and the customer follow, with slashes between.
 inline constexpr char kPeerLoanPath[] = "/peer/loan/";
 
 }  // namespace wisteriareel
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -70,10 +70,8 @@
                    !target_watch_.source_answers();
           },
           [this] { return Peers(); }),
-      peer_loans_(
-          {}, io, &scheduler_, random_.get(), &ledger_, log,
-          [this] { return Peers(); },
-          [this](const CustomerId& id) { OnLedgerChanged(id); }),
+      peer_loans_({}, io, &scheduler_, random_.get(), &ledger_, log,
+                  static_cast<LoanPeers*>(this)),
       ready_server_(io, [this](const std::string&, const std::string&,
                                const std::string&) { return AnswerReady(); }),
       peer_server_(io,
@@ -167,7 +165,8 @@
 }
 
 void RouterDaemon::OnConfigApplied() {
-  ledger_.SetBudgets(router_.table()->config());
+  ledger_.SetBudgets(router_.table()->config(), scheduler_.Now());
+  UpdateHomes();
   ledger_runner_.Poke();
 }
 
@@ -202,6 +201,17 @@
 void RouterDaemon::OnInstancesCounted(int count) {
   repeats_.SetInstances(count);
   ledger_.SetInstances(count);
+  UpdateHomes();
+}
+
+void RouterDaemon::UpdateHomes() {
+  ledger_.SetHomes([this](const CustomerId& customer) {
+    return !HomeOf(customer).has_value();
+  });
+}
+
+std::optional<Endpoint> RouterDaemon::HomeOf(const CustomerId& customer) const {
+  return member_watch_.HomeOf(customer.value());
 }
 
 void RouterDaemon::OnLedgerChanged(const CustomerId& customer) {
@@ -210,7 +220,7 @@
   for (const auto& connection : connections) {
     if (connection->WaitsFor(customer)) connection->OnLedgerChanged();
   }
-  peer_loans_.Poke();
+  OnWaitingForTokens();
 }
 
 void RouterDaemon::OnWaitingForTokens() {
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -44,7 +44,8 @@
 // One instance of the fleet: composes the decisions with what drives them, on
 // one thread.
 class RouterDaemon final : private CallerConnectionOwner,
-                           private MemberWatchOwner {
+                           private MemberWatchOwner,
+                           private LoanPeers {
  public:
   // The pointers outlive the daemon. `reload` runs at SIGHUP.
   RouterDaemon(RouterSettings settings, const RouterPlatform& platform,
@@ -67,9 +68,8 @@
   bool Ready() const;
   HttpReply AnswerReady() const;
   HttpReply AnswerPeer(const std::string& target);
-  void OnLedgerChanged(const CustomerId& customer);
   void OnConfigApplied();
-  std::vector<Endpoint> Peers() const;
+  void UpdateHomes();
   bool AnyBusy() const;
 
   void OnConnectionClosed(CallerConnection* connection) override;
@@ -80,6 +80,10 @@
   void OnOwnPast(const std::optional<Heartbeat>& last) override;
   std::optional<std::int64_t> ContactToTell() override;
 
+  std::optional<Endpoint> HomeOf(const CustomerId& customer) const override;
+  std::vector<Endpoint> Peers() const override;
+  void OnLedgerChanged(const CustomerId& customer) override;
+
   const RouterSettings settings_;
   AsyncTable* const table_;
   const absl::Time started_;
--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -82,7 +82,7 @@
         .revision = Revision(1),
         .routes = {route_},
         .customers = {{.id = CustomerId("c"), .prepaid = prepaid_}}};
-    ledger_.SetBudgets(config);
+    ledger_.SetBudgets(config, kStart - absl::Minutes(1));
     const auto table = std::make_shared<const RouteTable>(config);
     exchange_ = std::make_unique<Exchange>(
         ExchangeRequest{.facts = facts_,
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -89,7 +89,9 @@
                                           ? InheritedUse::kAuthorised
                                           : InheritedUse::kAll);
     instance->ledger->SetInstances(static_cast<int>(instances_.size()));
-    instance->ledger->SetBudgets(Budget(prepaid_));
+    instance->ledger->SetBudgets(Budget(prepaid_), now_ - absl::Minutes(1));
+    const bool home = instance->name == "i0";
+    instance->ledger->SetHomes([home](const CustomerId&) { return home; });
   }
 
   void Request(Instance* instance, std::int64_t most) {
@@ -140,11 +142,12 @@
   void Lend(Instance* from, Instance* to, std::int64_t wanted, bool lost) {
     for (const LoanRequest& loan : to->ledger->TakeLoanRequests(now_)) {
       const Tokens amount =
-          from->ledger->Lend(loan.customer, loan.amount, now_);
+          from->ledger->Lend(loan.customer, loan.amount, loan.least, now_);
       if (!lost) to->ledger->Borrow(loan.customer, amount);
-      to->ledger->CompleteLoan(loan.customer, now_);
+      to->ledger->CompleteLoan(loan.customer, amount >= loan.least, now_);
     }
-    const Tokens amount = from->ledger->Lend(kCustomer, Tokens(wanted), now_);
+    const Tokens amount =
+        from->ledger->Lend(kCustomer, Tokens(wanted), Tokens(0), now_);
     if (!lost) to->ledger->Borrow(kCustomer, amount);
   }
 
@@ -239,7 +242,7 @@
         PrepaidLedgerOptions{.instance = "i", .life = life});
     ledger->SetInheritedUse(use);
     ledger->SetInstances(2);
-    ledger->SetBudgets(Budget(prepaid));
+    ledger->SetBudgets(Budget(prepaid), now_ - absl::Minutes(1));
     return ledger;
   }
 
@@ -266,7 +269,7 @@
 TEST_F(PrepaidLedgerScript, ATopUpCountsAsSoonAsItIsInForce) {
   const auto ledger = Make("1", InheritedUse::kAll, 1000);
   Serve(ledger.get());
-  ledger->SetBudgets(Budget(50000));
+  ledger->SetBudgets(Budget(50000), now_);
   EXPECT_EQ(ledger->Reserve(kCustomer, Tokens(20000), now_),
             ReserveResult::kWait);
   Serve(ledger.get());
@@ -331,8 +334,8 @@
   Serve(lender.get());
   PrepaidLedger borrower({.instance = "j", .life = "1"});
   borrower.SetInstances(2);
-  borrower.SetBudgets(Budget(100000));
-  const Tokens lent = lender->Lend(kCustomer, Tokens(500), now_);
+  borrower.SetBudgets(Budget(100000), now_);
+  const Tokens lent = lender->Lend(kCustomer, Tokens(500), Tokens(0), now_);
   EXPECT_EQ(lent, Tokens(500));
   borrower.Borrow(kCustomer, lent);
   EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
