Hold more at homes, authorise less of it, and leave little with borrowers

Cause: an order was due at 0.6 of 9 s, so that cuts of 8 s outlasted what was held; failed loans counted as demand and inflated what a kill strands. Change: 12 s refilled at 0.85, at most 80% of what is left; authorised beyond use at most 25% of that; borrowers ask 0.3 s ahead and keep 1 s.

--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -17,12 +17,15 @@
 // Demand is averaged over this time.
 constexpr absl::Duration kRateMemory = absl::Seconds(4);
 // An order is due when less than this share of the target is free.
-constexpr double kRefillShare = 0.6;
+constexpr double kRefillShare = 0.85;
 // A home that has seen no request holds one part in this many of a budget.
-constexpr int kIdleShare = 8;
+constexpr int kIdleShare = 5;
 // A home holds at most this part of what isn't reserved or settled: what it
 // holds is of no use where it can't be reached.
-constexpr int kHeldPercent = 60;
+constexpr int kHeldPercent = 80;
+// A home authorises at most this part of it beyond what is in use, since that
+// is lost when the home is killed.
+constexpr int kAuthorisedPercent = 25;
 // Less than one part in this many of a budget isn't worth an order to return
 // it.
 constexpr int kCrumbDivisor = 1000;
@@ -40,16 +43,15 @@
 // doubles from conflict to conflict: about one transaction of the table.
 constexpr absl::Duration kConflictWait = absl::Milliseconds(8);
 constexpr int kMaxConflictDoublings = 6;
-constexpr double kTypicalWeight = 0.2;
 // A pool found empty is asked again after this time.
 constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(400);
 // Others are asked again this long after they couldn't lend enough.
 constexpr absl::Duration kLoanInterval = absl::Milliseconds(400);
 // A borrower asks for what it needs within this time beside what waits, so
 // that not every request has to ask.
-constexpr absl::Duration kBorrowAhead = absl::Milliseconds(600);
+constexpr absl::Duration kBorrowAhead = absl::Milliseconds(300);
 // A borrower returns what it doesn't need within this time.
-constexpr absl::Duration kBorrowerKeeps = absl::Seconds(4);
+constexpr absl::Duration kBorrowerKeeps = absl::Seconds(1);
 // What is authorised lasts this much longer than the time after which the
 // reserve may be used.
 constexpr absl::Duration kAuthorisedMargin = absl::Milliseconds(500);
@@ -158,8 +160,6 @@
   Account& account = accounts_[customer];
   if (!account.prepaid.has_value()) return ReserveResult::kReserved;
   const std::int64_t amount = most.value();
-  account.typical += static_cast<std::int64_t>(
-      kTypicalWeight * static_cast<double>(amount - account.typical));
   if (FreeOf(account, now) >= amount) {
     account.reserved += amount;
     NoteUse(&account, amount, now);
@@ -236,14 +236,18 @@
   if (giving_up_) return 0;
   const absl::Duration time = options_.reserve_after + kAuthorisedMargin;
   const double by_rate = RateOf(account, now) * absl::ToDoubleSeconds(time);
-  // An instance without requests so far authorises in the same proportion.
-  const double idle =
-      account.home ? static_cast<double>(account.prepaid->value()) /
-                         kIdleShare * absl::FDivDuration(time, options_.horizon)
-                   : 0;
-  const bool busy = now - account.rate_at < 2 * options_.horizon;
-  return std::max(static_cast<std::int64_t>(std::max(by_rate, idle)),
-                  busy ? account.typical : 0);
+  // A home without requests so far authorises in the same proportion.
+  const bool unused = account.rate_at == absl::InfinitePast();
+  const double idle = account.home && unused
+                          ? static_cast<double>(account.prepaid->value()) /
+                                kIdleShare *
+                                absl::FDivDuration(time, options_.horizon)
+                          : 0;
+  const std::int64_t left = std::max<std::int64_t>(
+      0, account.prepaid->value() - account.pool.granted + account.own.granted -
+             UsedOf(account));
+  return std::min(static_cast<std::int64_t>(std::max(by_rate, idle)),
+                  left * kAuthorisedPercent / 100);
 }
 
 std::int64_t PrepaidLedger::PlanGrant(const Account& account,
@@ -272,11 +276,10 @@
   if (giving_up_) return std::max<std::int64_t>(0, held);
   if (account.wanted > 0) return 0;
   const std::int64_t target =
-      account.home ? TargetOf(account, now)
-                   : std::max(account.typical,
-                              static_cast<std::int64_t>(
-                                  RateOf(account, now) *
-                                  absl::ToDoubleSeconds(kBorrowerKeeps)));
+      account.home
+          ? TargetOf(account, now)
+          : static_cast<std::int64_t>(RateOf(account, now) *
+                                      absl::ToDoubleSeconds(kBorrowerKeeps));
   const std::int64_t spare = held - target;
   const std::int64_t crumb = account.prepaid->value() / kCrumbDivisor;
   return spare > std::max(target, crumb) ? spare : 0;
@@ -466,11 +469,10 @@
     return Tokens(0);
   }
   Account& account = it->second;
-  // What others need counts as demand, also where it can't be lent yet.
-  NoteUse(&account, wanted.value(), now);
   const std::int64_t amount = std::clamp<std::int64_t>(
       FreeOf(account, now), 0, std::max<std::int64_t>(0, wanted.value()));
   if (amount < least.value()) return Tokens(0);
+  NoteUse(&account, amount, now);
   account.lent += amount;
   return Tokens(amount);
 }
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -34,8 +34,8 @@
   // Identifies this life of this instance; never used again.
   std::string life;
   // Time that what is held should last without the platform; the outages that
-  // the platform names last up to nine seconds.
-  absl::Duration horizon = absl::Seconds(9);
+  // the platform names last up to nine seconds, and two may follow each other.
+  absl::Duration horizon = absl::Seconds(12);
   // Time without the platform after which the reserve may be used. Longer than
   // a restart takes, so that the next life can prove that it wasn't.
   absl::Duration reserve_after = absl::Seconds(3);
@@ -204,8 +204,6 @@
     std::optional<Order> order;
     // Conflicts in a row.
     int conflicts = 0;
-    // Smoothed worst case of a request.
-    std::int64_t typical = 0;
     bool in_flight = false;
     absl::Time next_order = absl::InfinitePast();
     absl::Duration backoff;
