Send callers of an overloaded instance elsewhere

Change: the time of new connections tells of the queue; part of the requests is refused at once as not run, the connection is closed, and from a third on the instance isn't ready for new ones. Less is expected of unseen work at a target.

--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -16,9 +16,9 @@
 constexpr double kRunningMs = 4;
 // Share of a shared part's tokens that is expected to be read again at the
 // first, the second and any other target of its rank.
-constexpr double kRereadShare[] = {0.0, 0.25, 1.0};
+constexpr double kRereadShare[] = {0.0, 0.5, 1.0};
 // Other instances send to the same targets: work seen here stands for more.
-constexpr double kUnseenWork = 2.0;
+constexpr double kUnseenWork = 1.2;
 // Extra time of a target in another zone.
 constexpr double kOtherZoneMs = 2.0;
 // Observed waiting loses its meaning at this rate.
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -48,6 +48,8 @@
                  .codec = platform.codec,
                  .router = &router_,
                  .targets = &targets_,
+                 .overload = &overload_,
+                 .random = random_.get(),
                  .exchange = {.pool = &pool_,
                               .repeats = &repeats_,
                               .ledger = &ledger_,
@@ -134,7 +136,8 @@
 }
 
 bool RouterDaemon::Ready() const {
-  return !draining_ && router_.table() != nullptr && pool_.listed();
+  return !draining_ && router_.table() != nullptr && pool_.listed() &&
+         !overload_.Overloaded(scheduler_.Now());
 }
 
 HttpReply RouterDaemon::AnswerReady() const {
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -98,6 +98,7 @@
   PrepaidLedger ledger_;
   RequestRouter router_;
   TargetConnections targets_;
+  OverloadGuard overload_;
   CallerServices services_;
   ConfigWatch config_watch_;
   TargetWatch target_watch_;
--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kMaxOutgoing = 256 << 10;
 // A caller that acknowledges nothing for this long is taken as gone.
 constexpr absl::Duration kSilence = absl::Seconds(4);
+// Other instances have room at once.
+constexpr absl::Duration kShedRetryAfter = absl::Milliseconds(20);
 // Idle connections are kept a little longer than operators promise.
 constexpr absl::Duration kIdleMargin = absl::Seconds(1);
 
@@ -166,6 +168,7 @@
   }
   request_id_ = facts->id;
   const absl::Time now = services_.clock->Now();
+  if (Shed(now)) return;
   auto admitted = services_.router->Admit(*facts, now);
   if (const Refusal* refusal = std::get_if<Refusal>(&admitted)) {
     services_.exchange.counters->Refused(refusal->reason);
@@ -186,6 +189,25 @@
   if (exchange_->done()) EndRequest();
 }
 
+bool CallerConnection::Shed(absl::Time now) {
+  if (services_.random->Fraction() >= services_.overload->ShedShare(now)) {
+    return false;
+  }
+  // The next connection goes to another instance, which has room.
+  last_request_ = true;
+  services_.exchange.counters->Refused(Reason::kShedOverload);
+  services_.exchange.log->Write(EventId::kRequestRefused, Severity::kInfo,
+                                "instance is overloaded",
+                                {{"request", request_id_.value()},
+                                 {"status", "503"},
+                                 {"reason", "shed_overload"}});
+  Refuse({.status = 503,
+          .reason = Reason::kShedOverload,
+          .retry_after = kShedRetryAfter});
+  EndRequest();
+  return true;
+}
+
 // The exchange has ended: the connection waits for the next request.
 void CallerConnection::EndRequest() {
   exchange_.reset();
@@ -392,6 +414,10 @@
   }
 }
 
+void CallerConnection::OnLinkConnected(absl::Duration taken) {
+  services_.overload->NoteConnect(taken, services_.clock->Now());
+}
+
 void CallerConnection::OnLinkUnreachable() {
   link_.reset();
   Drive(
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -15,12 +15,14 @@
 #include "boost/beast/http/parser.hpp"
 #include "boost/beast/http/string_body.hpp"
 #include "src/forward/exchange.h"
+#include "src/forward/overload_guard.h"
 #include "src/forward/request_router.h"
 #include "src/runtime/head_writer.h"
 #include "src/runtime/message_codec.h"
 #include "src/runtime/target_connections.h"
 #include "src/runtime/target_link.h"
 #include "wisteriareel/clock.h"
+#include "wisteriareel/random_source.h"
 
 namespace wisteriareel {
 
@@ -44,6 +46,8 @@
   const MessageCodec* codec = nullptr;
   RequestRouter* router = nullptr;
   TargetConnections* targets = nullptr;
+  OverloadGuard* overload = nullptr;
+  RandomSource* random = nullptr;
   ExchangeServices exchange;
   CallerConnectionOwner* owner = nullptr;
 };
@@ -87,6 +91,8 @@
   void RejectParse(const boost::system::error_code& ec);
   void Reject(int status, Reason reason);
   void HandleRequest();
+  // Returns true if the request was sent elsewhere.
+  bool Shed(absl::Time now);
   void EndRequest();
   void Enqueue(std::string bytes);
   void WriteNext();
@@ -108,6 +114,7 @@
   void BreakOff() override;
   void SetTimer(absl::Time when) override;
 
+  void OnLinkConnected(absl::Duration taken) override;
   void OnLinkUnreachable() override;
   void OnLinkHead(const AnswerHead& head) override;
   void OnLinkBody(std::string_view bytes) override;
--- a/src/runtime/target_link.cc
+++ b/src/runtime/target_link.cc
@@ -79,20 +79,24 @@
   connect_timer_.async_wait([self = shared_from_this()](error_code ec) {
     if (!ec) self->CloseSocket();
   });
-  socket_->async_connect(AsioEndpoint(request_.address),
-                         [self = shared_from_this()](error_code ec) {
-                           self->connect_timer_.cancel();
-                           if (self->observer_ == nullptr) return;
-                           if (ec || !self->socket_->is_open()) {
-                             TargetLinkObserver* observer =
-                                 std::exchange(self->observer_, nullptr);
-                             self->CloseSocket();
-                             observer->OnLinkUnreachable();
-                             return;
-                           }
-                           WatchPeer(self->socket_.get(), kSilence);
-                           self->Write();
-                         });
+  connecting_since_ = std::chrono::steady_clock::now();
+  socket_->async_connect(
+      AsioEndpoint(request_.address),
+      [self = shared_from_this()](error_code ec) {
+        self->connect_timer_.cancel();
+        if (self->observer_ == nullptr) return;
+        if (ec || !self->socket_->is_open()) {
+          TargetLinkObserver* observer =
+              std::exchange(self->observer_, nullptr);
+          self->CloseSocket();
+          observer->OnLinkUnreachable();
+          return;
+        }
+        WatchPeer(self->socket_.get(), kSilence);
+        self->observer_->OnLinkConnected(absl::FromChrono(
+            std::chrono::steady_clock::now() - self->connecting_since_));
+        self->Write();
+      });
 }
 
 void TargetLink::Write() {
--- a/src/runtime/target_link.h
+++ b/src/runtime/target_link.h
@@ -2,6 +2,7 @@
 #define WISTERIAREEL_SRC_RUNTIME_TARGET_LINK_H_
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,6 +27,9 @@
  public:
   virtual ~TargetLinkObserver() = default;
 
+  // A new connection was made within `taken`.
+  virtual void OnLinkConnected(absl::Duration taken) = 0;
+
   // The request was not sent.
   virtual void OnLinkUnreachable() = 0;
   virtual void OnLinkHead(const AnswerHead& head) = 0;
@@ -92,6 +96,7 @@
   Request request_;
   std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
   boost::asio::steady_timer connect_timer_;
+  std::chrono::steady_clock::time_point connecting_since_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   bool reading_ = false;
--- a/test/forward_tests.cmake
+++ b/test/forward_tests.cmake
@@ -3,3 +3,4 @@
 wisteriareel_test(forward_prepaid_ledger_test
   LIBRARIES wisteriareel_forward rapidcheck rapidcheck_gtest)
 wisteriareel_test(forward_exchange_test LIBRARIES wisteriareel_forward)
+wisteriareel_test(forward_overload_guard_test LIBRARIES wisteriareel_forward)
