Test the adapter's formats and what follows the platform

Tests of the manifest, targets' entries, store calls and headers; of the configuration's, targets' and instances' watches on a paused clock; of the router's settings as the template renders them.

--- /dev/null
+++ b/test/adapter_test.cc
@@ -0,0 +1,231 @@
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/escaping.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "platform/manifest_codec.h"
+#include "platform/message_codec.h"
+#include "platform/store_codec.h"
+#include "platform/target_codec.h"
+#include "src/runtime/head_writer.h"
+
+namespace wisteriareel::platform {
+namespace {
+
+using ::testing::ElementsAre;
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::SizeIs;
+
+constexpr char kManifest[] = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "h.example", "prefix": "/a/", "kind": "streaming",
+     "timeout_ms": 8000, "target_latency_ms": 600, "priority": 0,
+     "traffic_split": [{"service": "s1", "weight": 90},
+                       {"service": "s2", "weight": 10}],
+     "attempts": 2, "public": false, "sticky": true, "resumable": true,
+     "gap_aim_ms": 250},
+    {"name": "r2", "host": "h.example", "prefix": "/b/", "service": "s2",
+     "kind": "something new", "timeout_ms": 800}],
+  "services": [
+    {"name": "s1", "health_path": "/health", "max_connections": 370,
+     "engine": {"slots": 64, "kv_capacity": 447736, "stride": 5}},
+    {"name": "s2", "max_connections": 110}],
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+  "tenants": [{"name": "c", "api_keys": ["k1", "k2"], "priority": 1,
+               "prepaid": 6114644}]})";
+
+TEST(ManifestCodecTest, EveryFieldArrives) {
+  LastReason reason;
+  const auto config = DecodeManifest(kManifest, &reason);
+  ASSERT_TRUE(config.has_value()) << reason.detail();
+  EXPECT_EQ(config->revision, Revision(7));
+  ASSERT_THAT(config->routes, SizeIs(2));
+  const Route& route = config->routes[0];
+  EXPECT_EQ(route.kind, RouteKind::kStreaming);
+  EXPECT_EQ(route.timeout, absl::Seconds(8));
+  EXPECT_EQ(route.objective, absl::Milliseconds(600));
+  EXPECT_EQ(route.pause_objective, absl::Milliseconds(250));
+  EXPECT_EQ(route.attempts, 2);
+  EXPECT_TRUE(route.resumable);
+  EXPECT_THAT(route.services, SizeIs(2));
+  EXPECT_EQ(config->services[0].engine->tokens_per_event, 5);
+  EXPECT_FALSE(config->services[1].engine.has_value());
+  EXPECT_EQ(config->customers[0].prepaid, Tokens(6114644));
+  EXPECT_EQ(config->limits.header_timeout, absl::Seconds(3));
+}
+
+TEST(ManifestCodecTest, AKindThatIsNotKnownIsNeverRepeated) {
+  LastReason reason;
+  const auto config = DecodeManifest(kManifest, &reason);
+  EXPECT_EQ(config->routes[1].kind, RouteKind::kNonIdempotent);
+  EXPECT_FALSE(config->routes[1].Repeatable());
+}
+
+TEST(ManifestCodecTest, WhatCannotBeReadIsRefusedWhole) {
+  LastReason reason;
+  EXPECT_EQ(DecodeManifest("{\"version\": 3}", &reason), std::nullopt);
+  EXPECT_EQ(reason.reason(), Reason::kMalformed);
+  EXPECT_EQ(DecodeManifest("no json", &reason), std::nullopt);
+}
+
+TEST(TargetCodecTest, AnEntryIsRead) {
+  const auto entry = DecodeTarget(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":64,
+          "state":"draining","cold_remaining_ms":250,"born":1700000000000})");
+  ASSERT_TRUE(entry.has_value());
+  EXPECT_EQ(entry->address, (Endpoint{.host = "10.0.0.9", .port = 8080}));
+  EXPECT_TRUE(entry->draining);
+  EXPECT_EQ(entry->warm_up, absl::Milliseconds(250));
+  EXPECT_EQ(entry->started_ms, 1700000000000);
+}
+
+TEST(TargetCodecTest, EntriesOfOtherWritersNameNoTarget) {
+  for (const char* text :
+       {"", "\xff\xfe", "[]", "{}", R"({"service":"s"})",
+        R"({"service":1,"address":"h:1","zone":"a","slots":1,"state":"ready"})",
+        R"({"service":"s","address":"h","zone":"a","slots":1,"state":"ready"})",
+        R"({"service":"s","address":"h:1","zone":"a","slots":"x",
+            "state":"ready"})",
+        R"({"service":"s","address":"h:1","zone":"a","slots":1,
+            "state":"resting"})"}) {
+    EXPECT_EQ(DecodeTarget("i", text), std::nullopt) << text;
+  }
+}
+
+TEST(StoreCodecTest, ATransactionIsWrittenWithConditionsAndValues) {
+  const StoreCall call =
+      EncodeCommit({.conditions = {{.key = {"t", "p", "k"}, .version = 3}},
+                    .writes = {{.key = {"t", "p", "k"}, .value = "v"},
+                               {.key = {"t", "p", "gone"}}}});
+  EXPECT_EQ(call.method, "POST");
+  EXPECT_THAT(call.body, HasSubstr(R"("ver":3)"));
+  EXPECT_THAT(call.body, HasSubstr(absl::Base64Escape("v")));
+  EXPECT_THAT(call.body, HasSubstr(R"("key":"gone")"));
+}
+
+TEST(StoreCodecTest, EachStatusOfACommitHasItsMeaning) {
+  EXPECT_EQ(DecodeCommit(200, R"({"ver":9,"now_ms":5})").outcome,
+            CommitOutcome::kCommitted);
+  const CommitReply conflict = DecodeCommit(
+      412,
+      R"({"rows":[{"table":"t","part":"p","key":"k","value":"dg==","ver":4},
+                  {"table":"t","part":"p","key":"x","ver":0}],"now_ms":5})");
+  EXPECT_EQ(conflict.outcome, CommitOutcome::kConflict);
+  ASSERT_THAT(conflict.current, SizeIs(1));
+  EXPECT_EQ(conflict.current[0].value, "v");
+  EXPECT_EQ(conflict.platform_ms, 5);
+  EXPECT_EQ(DecodeCommit(503, "").outcome, CommitOutcome::kRejected);
+  EXPECT_EQ(DecodeCommit(429, "").outcome, CommitOutcome::kRejected);
+  EXPECT_EQ(DecodeCommit(500, "").outcome, CommitOutcome::kUnknown);
+  EXPECT_EQ(DecodeCommit(200, "{").outcome, CommitOutcome::kUnknown);
+}
+
+TEST(StoreCodecTest, RowsWithBytesThatCannotBeReadAreLeftOut) {
+  const auto page = DecodeRows(
+      R"({"rows":[{"table":"t","part":"","key":"a","value":"!!","ver":1},
+                  {"table":"t","part":"","key":"b","removed":true,"ver":2}],
+          "ver":2,"more_pages":true})");
+  ASSERT_TRUE(page.has_value());
+  ASSERT_THAT(page->rows.rows, SizeIs(1));
+  EXPECT_TRUE(page->rows.rows[0].deleted);
+  EXPECT_TRUE(page->more);
+  EXPECT_EQ(DecodeRows("{}"), std::nullopt);
+}
+
+RequestHead CallersHead() {
+  RequestHead head;
+  head.method_string("POST");
+  head.target("/a/x?q=1");
+  head.set("Host", "h.example");
+  head.set("Wisteriareel-Request-Id", "9c41");
+  head.set("Wisteriareel-Token-Counts", "1460,80");
+  head.set("Wisteriareel-Prompt-Prefix", "5c1e:800,e440:250");
+  head.set("Wisteriareel-Deadline-Ms", "6000");
+  head.set("X-Api-Key", "secret");
+  return head;
+}
+
+TEST(MessageCodecTest, ARequestIsRead) {
+  LastReason reason;
+  const auto facts = MessageCodec().DecodeRequest(CallersHead(), &reason);
+  ASSERT_TRUE(facts.has_value());
+  EXPECT_EQ(facts->MostTokens(), Tokens(1540));
+  EXPECT_EQ(facts->patience, absl::Seconds(6));
+  EXPECT_THAT(facts->prompt_parts,
+              ElementsAre(PromptPart{.id = "5c1e", .tokens = Tokens(800)},
+                          PromptPart{.id = "e440", .tokens = Tokens(250)}));
+}
+
+TEST(MessageCodecTest, WhatARequestStatesMustBeReadable) {
+  for (const auto& [name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"Wisteriareel-Token-Counts", "12"},
+           {"Wisteriareel-Token-Counts", "-1,5"},
+           {"Wisteriareel-Prompt-Prefix", "abc"},
+           {"Wisteriareel-Deadline-Ms", "soon"},
+           {"Last-Event-Id", "x"}}) {
+    RequestHead head = CallersHead();
+    head.set(name, value);
+    LastReason reason;
+    EXPECT_EQ(MessageCodec().DecodeRequest(head, &reason), std::nullopt)
+        << name;
+  }
+  RequestHead head = CallersHead();
+  head.insert("Wisteriareel-Request-Id", "other");
+  LastReason reason;
+  EXPECT_EQ(MessageCodec().DecodeRequest(head, &reason), std::nullopt);
+}
+
+TEST(MessageCodecTest, TheRoutersOwnHeadersReplaceTheCallers) {
+  RequestHead head = CallersHead();
+  for (const char* name :
+       {"Wisteriareel-Tenant", "Wisteriareel-Hold", "Wisteriareel-Pin-Ms",
+        "Wisteriareel-Kv-Backup", "Kv-From", "Kv-Fetch",
+        "Wisteriareel-Expect-Instance", "Wisteriareel-Request-Urgency"}) {
+    head.set(name, "forged");
+  }
+  head.set("Connection", "close, X-Hop");
+  head.set("X-Hop", "1");
+  const RequestHead sent =
+      MessageCodec().EncodeRequest(head, {},
+                                   {.target = {.id = TargetId("i-7")},
+                                    .resume_after = 12,
+                                    .time_left = absl::Milliseconds(1500),
+                                    .urgency = 3,
+                                    .customer = CustomerId("c")});
+  const std::string text = WriteHead(sent, {.length = 0});
+  EXPECT_THAT(text, Not(HasSubstr("forged")));
+  EXPECT_THAT(text, Not(HasSubstr("secret")));
+  EXPECT_THAT(text, Not(HasSubstr("X-Hop")));
+  EXPECT_THAT(text, HasSubstr("POST /a/x?q=1 HTTP/1.1\r\n"));
+  EXPECT_THAT(text, HasSubstr("Wisteriareel-Expect-Instance: i-7\r\n"));
+  EXPECT_THAT(text, HasSubstr("Wisteriareel-Tenant: c\r\n"));
+  EXPECT_THAT(text, HasSubstr("Wisteriareel-Deadline-Ms: 1500\r\n"));
+  EXPECT_THAT(text, HasSubstr("Last-Event-Id: 12\r\n"));
+  EXPECT_THAT(text, HasSubstr("Wisteriareel-Prompt-Prefix: 5c1e:800,"));
+}
+
+TEST(MessageCodecTest, AnAnswerToAnotherRequestIsRecognised) {
+  AnswerHead head;
+  head.result(200);
+  EXPECT_TRUE(MessageCodec().Answers(head, RequestId("a")));
+  head.set("Wisteriareel-Request-Id", "a");
+  EXPECT_TRUE(MessageCodec().Answers(head, RequestId("a")));
+  EXPECT_FALSE(MessageCodec().Answers(head, RequestId("b")));
+}
+
+TEST(MessageCodecTest, ARefusalSaysWhenToComeBack) {
+  const AnswerHead head = MessageCodec().EncodeRefusal(
+      {.status = 503, .retry_after = absl::Milliseconds(250)}, RequestId("a"));
+  EXPECT_EQ(head["Retry-After"], "0.250");
+  EXPECT_EQ(head.count("Wisteriareel-Response-Seal"), 0U);
+}
+
+}  // namespace
+}  // namespace wisteriareel::platform
--- /dev/null
+++ b/test/router_tests.cmake
@@ -0,0 +1,2 @@
+wisteriareel_test(adapter_test LIBRARIES wisteriareel_adapter)
+wisteriareel_test(router_watch_test LIBRARIES wisteriareel_router)
--- /dev/null
+++ b/test/router_watch_test.cc
@@ -0,0 +1,315 @@
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "src/router/config_watch.h"
+#include "src/router/member_watch.h"
+#include "src/router/router_settings.h"
+#include "src/router/target_watch.h"
+
+namespace wisteriareel {
+namespace {
+
+// Runs what is scheduled when the test advances its clock.
+class ManualScheduler final : public Scheduler {
+ public:
+  absl::Time Now() const override { return now_; }
+  void After(absl::Duration delay, std::function<void()> run) override {
+    due_.emplace(now_ + delay, std::move(run));
+  }
+  void Advance(absl::Duration duration) {
+    const absl::Time end = now_ + duration;
+    while (!due_.empty() && due_.begin()->first <= end) {
+      auto node = due_.extract(due_.begin());
+      now_ = std::max(now_, node.key());
+      node.mapped()();
+    }
+    now_ = end;
+  }
+
+ private:
+  absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+  std::multimap<absl::Time, std::function<void()>> due_;
+};
+
+// A source whose answers the test gives.
+class ScriptedSource final : public DeploymentSource {
+ public:
+  void ReadConfig(ConfigDone done) override { read = std::move(done); }
+  void FollowConfig(std::uint64_t position, absl::Duration /*wait*/,
+                    ChangeDone done) override {
+    followed_from = position;
+    follow = std::move(done);
+  }
+  void ListTargets(TargetsDone done) override { list = std::move(done); }
+  std::optional<ConfigCopy> ParseConfig(const std::string& text,
+                                        LastReason* reason) const override {
+    if (text.empty()) {
+      reason->Set(Reason::kMalformed, "empty");
+      return std::nullopt;
+    }
+    return Copy(std::stoull(text));
+  }
+
+  static ConfigCopy Copy(std::uint64_t revision) {
+    return {
+        .table = std::make_shared<const RouteTable>(
+            RouteConfig{.revision = Revision(revision)}),
+        .text = std::make_shared<const std::string>(absl::StrCat(revision))};
+  }
+
+  ConfigDone read;
+  ChangeDone follow;
+  TargetsDone list;
+  std::uint64_t followed_from = 0;
+};
+
+class ConfigWatchTest : public ::testing::Test {
+ protected:
+  ConfigWatchTest()
+      : router_({}),
+        watch_({}, &source_, &router_, &scheduler_, DiscardEvents(),
+               [this] { ++applied_; }) {
+    watch_.Start();
+  }
+
+  std::uint64_t Revision() const {
+    return router_.table() == nullptr
+               ? 0
+               : router_.table()->config().revision.value();
+  }
+  void AnswerRead(std::uint64_t revision, std::uint64_t position) {
+    std::exchange(source_.read, nullptr)(ConfigReading{
+        .config = ScriptedSource::Copy(revision), .position = position});
+  }
+  void AnswerFollow(const ConfigChange& change) {
+    std::exchange(source_.follow, nullptr)(change);
+  }
+
+  ManualScheduler scheduler_;
+  ScriptedSource source_;
+  RequestRouter router_;
+  int applied_ = 0;
+  ConfigWatch watch_;
+};
+
+TEST_F(ConfigWatchTest, ChangesAreFollowedFromWhereTheReadingEnded) {
+  AnswerRead(5, 100);
+  EXPECT_EQ(Revision(), 5U);
+  EXPECT_EQ(source_.followed_from, 100U);
+  AnswerFollow(
+      {.outcome = ConfigChange::Outcome::kRead,
+       .reading = {.config = ScriptedSource::Copy(8), .position = 130}});
+  EXPECT_EQ(Revision(), 8U);
+  EXPECT_EQ(source_.followed_from, 130U);
+  EXPECT_EQ(applied_, 2);
+}
+
+TEST_F(ConfigWatchTest, AfterALostHistoryTheWholeIsRead) {
+  AnswerRead(5, 100);
+  AnswerFollow({.outcome = ConfigChange::Outcome::kHistoryLost});
+  ASSERT_NE(source_.read, nullptr);
+  AnswerRead(9, 400);
+  EXPECT_EQ(Revision(), 9U);
+}
+
+TEST_F(ConfigWatchTest, AFailureIsRetriedAndNothingIsForgotten) {
+  AnswerRead(5, 100);
+  AnswerFollow({.outcome = ConfigChange::Outcome::kFailed});
+  EXPECT_FALSE(watch_.source_answers());
+  EXPECT_EQ(Revision(), 5U);
+  scheduler_.Advance(absl::Seconds(1));
+  ASSERT_NE(source_.read, nullptr);
+  AnswerRead(6, 200);
+  EXPECT_TRUE(watch_.source_answers());
+  EXPECT_EQ(Revision(), 6U);
+}
+
+TEST_F(ConfigWatchTest, AnOldCopyOfAnotherInstanceChangesNothing) {
+  AnswerRead(5, 100);
+  EXPECT_FALSE(watch_.Offer("4"));
+  EXPECT_EQ(Revision(), 5U);
+  EXPECT_TRUE(watch_.Offer("7"));
+  EXPECT_EQ(Revision(), 7U);
+  // The platform's answer that was under way is older by now.
+  AnswerFollow(
+      {.outcome = ConfigChange::Outcome::kRead,
+       .reading = {.config = ScriptedSource::Copy(6), .position = 130}});
+  EXPECT_EQ(Revision(), 7U);
+}
+
+TEST_F(ConfigWatchTest, SilenceMakesTheConfigurationStale) {
+  AnswerRead(5, 100);
+  EXPECT_FALSE(router_.Stale(scheduler_.Now()));
+  scheduler_.Advance(absl::Seconds(5));
+  EXPECT_TRUE(router_.Stale(scheduler_.Now()));
+  AnswerFollow(
+      {.outcome = ConfigChange::Outcome::kRead, .reading = {.position = 100}});
+  EXPECT_FALSE(router_.Stale(scheduler_.Now()));
+}
+
+TEST(TargetWatchTest, ListingsGoOnThroughFailures) {
+  ManualScheduler scheduler;
+  ScriptedSource source;
+  TargetPool pool({.zone = ZoneId("a")});
+  std::vector<TargetId> left;
+  TargetWatch watch({}, &source, &pool, &scheduler, DiscardEvents(),
+                    [&left](const TargetId& id) { left.push_back(id); });
+  watch.Start();
+  const TargetEntry target{.id = TargetId("t"), .service = ServiceId("s")};
+  std::exchange(source.list, nullptr)(std::vector<TargetEntry>{target});
+  EXPECT_TRUE(pool.listed());
+  scheduler.Advance(absl::Seconds(1));
+  std::exchange(source.list, nullptr)(std::nullopt);
+  EXPECT_FALSE(watch.source_answers());
+  EXPECT_NE(pool.Find(TargetId("t")), nullptr);
+  scheduler.Advance(absl::Milliseconds(500));
+  ASSERT_NE(source.list, nullptr);
+  std::exchange(source.list, nullptr)(std::vector<TargetEntry>{});
+  EXPECT_EQ(left, std::vector<TargetId>{TargetId("t")});
+}
+
+// Rows of one table, without outages.
+class PlainTable final : public AsyncTable {
+ public:
+  explicit PlainTable(ManualScheduler* scheduler) : scheduler_(scheduler) {}
+
+  std::optional<TableContact> LastContact() const override {
+    return std::nullopt;
+  }
+  void Commit(const PartTransaction& transaction, CommitDone done) override {
+    ++version_;
+    for (const PartRowWrite& write : transaction.writes) {
+      if (write.value.has_value()) {
+        rows_[write.key.key] = {
+            .key = write.key, .value = *write.value, .version = version_};
+      } else {
+        rows_.erase(write.key.key);
+      }
+    }
+    scheduler_->After(absl::Milliseconds(5), [done = std::move(done)] {
+      done({.outcome = CommitOutcome::kCommitted});
+    });
+  }
+  void Read(const std::string& /*table*/, const std::string& /*part*/,
+            ReadDone done) override {
+    RowsReply reply{.version = version_};
+    for (const auto& [key, row] : rows_) reply.rows.push_back(row);
+    scheduler_->After(absl::Milliseconds(5), [done = std::move(done), reply] {
+      done(reply, LastReason());
+    });
+  }
+  void Follow(const std::string& /*table*/, std::uint64_t /*version*/,
+              absl::Duration /*wait*/, FollowDone /*done*/) override {}
+
+ private:
+  ManualScheduler* const scheduler_;
+  std::uint64_t version_ = 0;
+  std::map<std::string, PartRow> rows_;
+};
+
+class CountingOwner final : public MemberWatchOwner {
+ public:
+  void OnInstancesCounted(int n) override { count = n; }
+  void OnOwnPast(const std::optional<Heartbeat>& last) override { past = last; }
+  std::optional<std::int64_t> ContactToTell() override { return 4711; }
+
+  int count = 0;
+  std::optional<Heartbeat> past;
+};
+
+class MemberWatchTest : public ::testing::Test {
+ protected:
+  std::unique_ptr<MemberWatch> Join(int n, CountingOwner* owner) {
+    auto watch = std::make_unique<MemberWatch>(
+        MemberWatchOptions{
+            .self = InstanceId(absl::StrCat("i", n)),
+            .address = {.host = absl::StrCat("10.0.0.", n), .port = 1}},
+        &table_, &scheduler_, owner);
+    watch->Start();
+    return watch;
+  }
+
+  ManualScheduler scheduler_;
+  PlainTable table_{&scheduler_};
+};
+
+TEST_F(MemberWatchTest, InstancesFindEachOtherAndAgreeOnHomes) {
+  std::vector<CountingOwner> owners(4);
+  std::vector<std::unique_ptr<MemberWatch>> watches;
+  for (int n = 0; n < 4; ++n) watches.push_back(Join(n, &owners[n]));
+  scheduler_.Advance(absl::Seconds(12));
+  for (int topic = 0; topic < 20; ++topic) {
+    int homes = 0;
+    for (int n = 0; n < 4; ++n) {
+      EXPECT_EQ(owners[n].count, 4);
+      if (!watches[n]->HomeOf(absl::StrCat("c", topic)).has_value()) ++homes;
+    }
+    EXPECT_EQ(homes, 1);
+  }
+}
+
+TEST_F(MemberWatchTest, InstancesThatStartTogetherDoNotCountThemselvesAlone) {
+  CountingOwner owner;
+  const auto watch = Join(0, &owner);
+  EXPECT_EQ(owner.count, MemberWatchOptions().assumed);
+  scheduler_.Advance(absl::Seconds(1));
+  EXPECT_EQ(owner.count, MemberWatchOptions().assumed);
+  scheduler_.Advance(absl::Seconds(12));
+  EXPECT_EQ(owner.count, 1);
+}
+
+TEST_F(MemberWatchTest, ALaterLifeIsToldOfItsPast) {
+  CountingOwner first;
+  auto watch = Join(0, &first);
+  EXPECT_EQ(first.past, std::nullopt);
+  scheduler_.Advance(absl::Seconds(3));
+  CountingOwner second;
+  const auto next = Join(0, &second);
+  scheduler_.Advance(absl::Milliseconds(10));
+  ASSERT_TRUE(second.past.has_value());
+  EXPECT_EQ(second.past->contact_ms, 4711);
+}
+
+TEST(RouterSettingsTest, ARenderedTemplateIsRead) {
+  std::vector<SettingsProblem> problems;
+  const auto settings = ParseRouterSettings(R"({
+    // As the platform renders it.
+    "instance": {"id": "front-a-1", "zone": "a"},
+    "listen": {"callers": "10.1.0.40:8227", "ready": "10.1.0.40:8220",
+               "peers": "10.1.0.40:8229"},
+    "table": "10.200.1.7:8223",
+    "seeds": [{"address": "10.1.0.40:8229" },{"address": "10.2.0.29:8229" }],
+    "repeats": {"ratio": 0.2, "slack": 56, "window_s": 10},
+    "shutdown_grace_s": 8.5
+  })",
+                                            &problems);
+  EXPECT_EQ(FormatProblems(problems), "");
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->seeds.size(), 2U);
+  EXPECT_EQ(settings->shutdown_grace, absl::Milliseconds(8500));
+  EXPECT_EQ(settings->repeats.slack, 56);
+}
+
+TEST(RouterSettingsTest, AllProblemsAreListed) {
+  std::vector<SettingsProblem> problems;
+  EXPECT_EQ(ParseRouterSettings(R"({
+    "instance": {"id": "", "zone": "a"},
+    "listen": {"callers": "nowhere", "ready": "10.1.0.40:8220",
+               "peers": "10.1.0.40:0"},
+    "table": "10.200.1.7:8223", "colour": "red"})",
+                                &problems),
+            std::nullopt);
+  EXPECT_EQ(problems.size(), 4U);
+}
+
+}  // namespace
+}  // namespace wisteriareel
