Test a whole router over loopback

A request end to end, another request's answer, a broken stream, requests with two readings, a caller that leaves, and SIGTERM with a request under way; the target is scripted byte for byte, ports are free ones.

--- /dev/null
+++ b/test/router_daemon_test.cc
@@ -0,0 +1,353 @@
+#include "src/router/router_daemon.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "boost/asio/io_context.hpp"
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/post.hpp"
+#include "boost/asio/steady_timer.hpp"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "platform/message_codec.h"
+#include "test/raw_connection.h"
+
+namespace wisteriareel {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+
+// Returns a port on loopback that was free a moment ago.
+std::uint16_t FreePort() {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+// Rows without outages; all calls run on the daemon's thread.
+class LoopTable final : public AsyncTable {
+ public:
+  explicit LoopTable(boost::asio::io_context* io) : io_(io) {}
+
+  std::optional<TableContact> LastContact() const override {
+    return TableContact{.platform_ms = 1, .sent = SystemClock()->Now()};
+  }
+  void Commit(const PartTransaction& transaction, CommitDone done) override {
+    CommitReply reply{.outcome = CommitOutcome::kCommitted};
+    for (const PartRowCondition& condition : transaction.conditions) {
+      const auto it = rows_.find(condition.key);
+      const std::uint64_t version = it == rows_.end() ? 0 : it->second.version;
+      if (it != rows_.end()) reply.current.push_back(it->second);
+      if (version != condition.version)
+        reply.outcome = CommitOutcome::kConflict;
+    }
+    if (reply.outcome == CommitOutcome::kCommitted) {
+      reply.version = ++version_;
+      for (const PartRowWrite& write : transaction.writes) {
+        rows_[write.key] = {.key = write.key,
+                            .value = write.value.value_or(""),
+                            .version = version_};
+      }
+    }
+    boost::asio::post(*io_, [done = std::move(done), reply] { done(reply); });
+  }
+  void Read(const std::string& table, const std::string& /*part*/,
+            ReadDone done) override {
+    RowsReply reply{.version = version_};
+    for (const auto& [key, row] : rows_) {
+      if (key.table == table) reply.rows.push_back(row);
+    }
+    boost::asio::post(
+        *io_, [done = std::move(done), reply] { done(reply, LastReason()); });
+  }
+  void Follow(const std::string& /*table*/, std::uint64_t /*version*/,
+              absl::Duration /*wait*/, FollowDone /*done*/) override {}
+
+ private:
+  boost::asio::io_context* const io_;
+  std::uint64_t version_ = 0;
+  std::map<PartRowKey, PartRow> rows_;
+};
+
+// One configuration that never changes, and one target.
+class FixedSource final : public DeploymentSource {
+ public:
+  FixedSource(boost::asio::io_context* io, RouteConfig config,
+              TargetEntry target)
+      : io_(io), config_(std::move(config)), target_(std::move(target)) {}
+
+  void ReadConfig(ConfigDone done) override {
+    const ConfigReading reading{
+        .config =
+            ConfigCopy{.table = std::make_shared<const RouteTable>(config_),
+                       .text = std::make_shared<const std::string>("1")}};
+    boost::asio::post(*io_,
+                      [done = std::move(done), reading] { done(reading); });
+  }
+  void FollowConfig(std::uint64_t /*position*/, absl::Duration wait,
+                    ChangeDone done) override {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(
+        *io_, absl::ToChronoMilliseconds(wait));
+    timer->async_wait(
+        [timer, done = std::move(done)](boost::system::error_code ec) {
+          if (!ec) done({.outcome = ConfigChange::Outcome::kRead});
+        });
+  }
+  void ListTargets(TargetsDone done) override {
+    boost::asio::post(*io_, [this, done = std::move(done)] {
+      done(std::vector<TargetEntry>{target_});
+    });
+  }
+  std::optional<ConfigCopy> ParseConfig(const std::string& /*text*/,
+                                        LastReason* /*reason*/) const override {
+    return std::nullopt;
+  }
+
+ private:
+  boost::asio::io_context* const io_;
+  const RouteConfig config_;
+  const TargetEntry target_;
+};
+
+// A target that answers each connection as the test says, byte for byte.
+class ScriptedTarget {
+ public:
+  explicit ScriptedTarget(std::function<void(int fd)> serve)
+      : serve_(std::move(serve)),
+        acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
+        thread_([this] { Run(); }) {}
+  ~ScriptedTarget() {
+    stopping_ = true;
+    RawConnection wake(port());
+    thread_.join();
+  }
+
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+  // Returns the bytes up to the end of a request's head.
+  static std::string ReadHead(int fd) {
+    std::string head;
+    char byte = 0;
+    while (head.find("\r\n\r\n") == std::string::npos &&
+           read(fd, &byte, 1) == 1) {
+      head += byte;
+    }
+    return head;
+  }
+  static void Write(int fd, const std::string& bytes) {
+    EXPECT_EQ(write(fd, bytes.data(), bytes.size()),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
+ private:
+  void Run() {
+    for (;;) {
+      boost::asio::ip::tcp::socket socket(io_);
+      acceptor_.accept(socket);
+      if (stopping_) return;
+      serve_(socket.native_handle());
+    }
+  }
+
+  const std::function<void(int fd)> serve_;
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+};
+
+class RouterDaemonTest : public ::testing::Test {
+ protected:
+  void Start(std::uint16_t target_port, RouteKind kind) {
+    const RouteConfig config{
+        .revision = Revision(1),
+        .routes = {{.name = "r",
+                    .host = "h.example",
+                    .prefix = "/a/",
+                    .kind = kind,
+                    .timeout = absl::Seconds(20),
+                    .objective = absl::Seconds(10),
+                    .pause_objective = absl::Seconds(10),
+                    .services = {{.service = ServiceId("s")}}}},
+        .services = {{.id = ServiceId("s")}},
+        .customers = {{.id = CustomerId("c"), .api_keys = {"key"}}}};
+    source_ = std::make_unique<FixedSource>(
+        &io_, config,
+        TargetEntry{.id = TargetId("t"),
+                    .service = ServiceId("s"),
+                    .address = {.host = "127.0.0.1", .port = target_port},
+                    .zone = ZoneId("a")});
+    settings_.instance = {.id = InstanceId("i"), .zone = ZoneId("a")};
+    settings_.listen.callers = {.host = "127.0.0.1", .port = FreePort()};
+    settings_.listen.ready = {.host = "127.0.0.1", .port = FreePort()};
+    settings_.listen.peers = {.host = "127.0.0.1", .port = FreePort()};
+    daemon_ = std::make_unique<RouterDaemon>(
+        settings_,
+        RouterPlatform{
+            .codec = &codec_, .table = &table_, .source = source_.get()},
+        &io_, DiscardEvents(), [] {});
+    LastReason reason;
+    ASSERT_TRUE(daemon_->Start(&reason)) << reason.detail();
+    thread_ = std::thread([this] { daemon_->Run(); });
+    // Ready once configuration and targets are known.
+    while (!absl::StartsWith(Ask(settings_.listen.ready.port, "GET /ready"),
+                             "HTTP/1.1 200")) {
+    }
+  }
+
+  void TearDown() override {
+    io_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+  static std::string Ask(std::uint16_t port, const std::string& line) {
+    RawConnection connection(port);
+    connection.Send(absl::StrCat(
+        line, " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+    return connection.ReadAll();
+  }
+
+  static std::string Request(const std::string& id,
+                             const std::string& more = "") {
+    return absl::StrCat(
+        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key\r\n"
+        "Wisteriareel-Request-Id: ",
+        id, "\r\n", more, "Content-Length: 2\r\n\r\nhi");
+  }
+
+  boost::asio::io_context io_;
+  LoopTable table_{&io_};
+  const platform::MessageCodec codec_;
+  std::unique_ptr<FixedSource> source_;
+  RouterSettings settings_;
+  std::unique_ptr<RouterDaemon> daemon_;
+  std::thread thread_;
+};
+
+std::string WholeAnswer(const std::string& id, const std::string& body) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\nWisteriareel-Request-Id: ", id,
+                      "\r\nWisteriareel-Response-Seal: s\r\nContent-Length: ",
+                      body.size(), "\r\n\r\n", body);
+}
+
+TEST_F(RouterDaemonTest, ARequestIsServedFromEndToEnd) {
+  std::string seen;
+  ScriptedTarget target([&seen](int fd) {
+    seen = ScriptedTarget::ReadHead(fd);
+    ScriptedTarget::Write(fd, WholeAnswer("q1", "done"));
+  });
+  Start(target.port(), RouteKind::kNonIdempotent);
+  RawConnection caller(settings_.listen.callers.port);
+  caller.Send(Request("q1", "Connection: close\r\n"));
+  const std::string answer = caller.ReadAll();
+  EXPECT_THAT(answer, HasSubstr("HTTP/1.1 200 OK\r\n"));
+  EXPECT_THAT(answer, HasSubstr("Wisteriareel-Response-Seal: s\r\n"));
+  EXPECT_THAT(answer, HasSubstr("\r\n\r\ndone"));
+  EXPECT_THAT(seen, HasSubstr("Wisteriareel-Tenant: c\r\n"));
+  EXPECT_THAT(seen, Not(HasSubstr("X-Api-Key")));
+}
+
+TEST_F(RouterDaemonTest, AnAnswerToAnotherRequestIsNotHandedOut) {
+  ScriptedTarget target([](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    ScriptedTarget::Write(fd, WholeAnswer("other", "theirs"));
+    ScriptedTarget::Write(fd, WholeAnswer("q1", "mine"));
+  });
+  Start(target.port(), RouteKind::kNonIdempotent);
+  RawConnection caller(settings_.listen.callers.port);
+  caller.Send(Request("q1", "Connection: close\r\n"));
+  const std::string answer = caller.ReadAll();
+  EXPECT_THAT(answer, HasSubstr("mine"));
+  EXPECT_THAT(answer, Not(HasSubstr("theirs")));
+}
+
+TEST_F(RouterDaemonTest, ABrokenAnswerDoesNotLookComplete) {
+  ScriptedTarget target([](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    ScriptedTarget::Write(
+        fd,
+        "HTTP/1.1 200 OK\r\nWisteriareel-Request-Id: q1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: abcdefg\n\r\n");
+  });
+  Start(target.port(), RouteKind::kStreaming);
+  RawConnection caller(settings_.listen.callers.port);
+  caller.Send(Request("q1", "Connection: close\r\n"));
+  const std::string answer = caller.ReadAll();
+  EXPECT_THAT(answer, Not(HasSubstr("0\r\n\r\n")));
+  EXPECT_THAT(answer, HasSubstr("502"));
+}
+
+TEST_F(RouterDaemonTest, RequestsThatCouldBeReadInTwoWaysAreRefused) {
+  ScriptedTarget target([](int fd) { ScriptedTarget::ReadHead(fd); });
+  Start(target.port(), RouteKind::kNonIdempotent);
+  for (const char* framing :
+       {"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Content-Length: 2\r\nContent-Length: 3\r\n"}) {
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(absl::StrCat("POST /a/x HTTP/1.1\r\nHost: h.example\r\n",
+                             framing, "\r\n0\r\n\r\n"));
+    EXPECT_THAT(caller.ReadAll(), HasSubstr("HTTP/1.1 400"));
+  }
+}
+
+TEST_F(RouterDaemonTest, ACallersLeavingReachesTheTarget) {
+  std::atomic<bool> target_saw_end = false;
+  std::atomic<bool> reached = false;
+  ScriptedTarget target([&](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    reached = true;
+    char buf[64];
+    while (read(fd, buf, sizeof(buf)) > 0) {
+    }
+    target_saw_end = true;
+  });
+  Start(target.port(), RouteKind::kNonIdempotent);
+  {
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(Request("q1"));
+    while (!reached) std::this_thread::yield();
+  }
+  while (!target_saw_end) std::this_thread::yield();
+}
+
+TEST_F(RouterDaemonTest, ATerminatedInstanceFinishesWhatItHasTaken) {
+  std::atomic<bool> reached = false;
+  std::atomic<bool> answer = false;
+  ScriptedTarget target([&](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    reached = true;
+    while (!answer) std::this_thread::yield();
+    ScriptedTarget::Write(fd, WholeAnswer("q1", "done"));
+  });
+  Start(target.port(), RouteKind::kNonIdempotent);
+  RawConnection caller(settings_.listen.callers.port);
+  caller.Send(Request("q1"));
+  while (!reached) std::this_thread::yield();
+  kill(getpid(), SIGTERM);
+  while (!absl::StartsWith(Ask(settings_.listen.ready.port, "GET /ready"),
+                           "HTTP/1.1 503")) {
+  }
+  answer = true;
+  const std::string bytes = caller.ReadAll();
+  EXPECT_THAT(bytes, HasSubstr("done"));
+  EXPECT_THAT(bytes, HasSubstr("Connection: close"));
+  thread_.join();
+}
+
+}  // namespace
+}  // namespace wisteriareel
