--- a/src/observability/log4cxx_event_log.cc
+++ b/src/observability/log4cxx_event_log.cc
@@ -57,11 +57,13 @@
 
 class Log4cxxEventLog::Impl {
  public:
-  explicit Impl(const std::string& name)
-      : logger_(log4cxx::Logger::getLogger(name)) {
+  explicit Impl(const Log4cxxEventLogOptions& options)
+      : logger_(log4cxx::Logger::getLogger(options.logger)) {
     const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(kLayout));
     const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-        layout, log4cxx::ConsoleAppender::getSystemErr()));
+        layout, options.standard_output
+                    ? log4cxx::ConsoleAppender::getSystemOut()
+                    : log4cxx::ConsoleAppender::getSystemErr()));
     logger_->setAdditivity(false);
     logger_->removeAllAppenders();
     logger_->addAppender(appender);
@@ -79,7 +81,7 @@
 };
 
 Log4cxxEventLog::Log4cxxEventLog(const Log4cxxEventLogOptions& options)
-    : least_(options.least), impl_(std::make_unique<Impl>(options.logger)) {}
+    : least_(options.least), impl_(std::make_unique<Impl>(options)) {}
 
 Log4cxxEventLog::~Log4cxxEventLog() = default;
 
--- a/src/observability/log4cxx_event_log.h
+++ b/src/observability/log4cxx_event_log.h
@@ -15,6 +15,8 @@
   Severity least = Severity::kInfo;
   // Name of the logger; the lines of one process carry it.
   std::string logger = "wisteriareel";
+  // Lines go to the standard output instead of the standard error stream.
+  bool standard_output = false;
 };
 
 // Returns the text of an event line: its number, `text`, and the fields as
@@ -23,7 +25,7 @@
 std::string FormatEvent(EventId id, std::string_view text,
                         const std::vector<EventField>& fields);
 
-// Writes events to the standard error stream through log4cxx. Thread-safe.
+// Writes events to one of the standard streams through log4cxx. Thread-safe.
 class Log4cxxEventLog final : public EventLog {
  public:
   explicit Log4cxxEventLog(const Log4cxxEventLogOptions& options);
