Take what curl sends by default as JSON

Cause: the README's example gets 415, since curl states a form for -d. Change: that type is let through; the body is checked as JSON in any case. The test sends it and failed with 415 before.

--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -153,7 +153,12 @@
     return HttpRefusal{405, Reason::kMalformed, "expected POST"};
   }
   const std::string& type = exchange.content_type;
-  if (!type.empty() && !absl::StartsWithIgnoreCase(type, "application/json")) {
+  // Command-line tools state a form where nothing is said; the body is checked
+  // as JSON in any case.
+  const bool may_be_json =
+      type.empty() || absl::StartsWithIgnoreCase(type, "application/json") ||
+      absl::StartsWithIgnoreCase(type, "application/x-www-form-urlencoded");
+  if (!may_be_json) {
     return HttpRefusal{415, Reason::kMalformed, "expected application/json"};
   }
   return std::nullopt;
--- a/test/http_caller_server_test.cc
+++ b/test/http_caller_server_test.cc
@@ -352,6 +352,15 @@
   EXPECT_THAT(answer, Not(HasSubstr("half")));
 }
 
+// The README's example as typed: curl states a form for what -d sends.
+TEST_F(CallerServerTest, TakesTheBodyOfCommandLineToolsAsJson) {
+  Start();
+  for (const char* type :
+       {"", "Content-Type: application/x-www-form-urlencoded\r\n"}) {
+    EXPECT_THAT(Exchange(Chat(kChatBody, type)), StartsWith("HTTP/1.1 200"));
+  }
+}
+
 TEST_F(CallerServerTest, LeavesDoubtWhenTheHandlerFails) {
   handler_.answer = [](AnswerWriter*) -> CallResult {
     throw std::runtime_error("failed");
