--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -45,11 +45,6 @@
 constexpr int kMaxConflictDoublings = 6;
 // A pool found empty is asked again after this time.
 constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(400);
-// Others are asked again this long after they couldn't lend enough.
-constexpr absl::Duration kLoanInterval = absl::Milliseconds(400);
-// A borrower asks for what it needs within this time beside what waits, so
-// that not every request has to ask.
-constexpr absl::Duration kBorrowAhead = absl::Milliseconds(300);
 // A borrower returns what it doesn't need within this time.
 constexpr absl::Duration kBorrowerKeeps = absl::Seconds(1);
 // What is authorised lasts this much longer than the time after which the
@@ -457,55 +452,4 @@
           .reserved_here = Tokens(account.reserved)};
 }
 
-void PrepaidLedger::SetHomes(
-    const std::function<bool(const CustomerId&)>& is_home) {
-  for (auto& [id, account] : accounts_) account.home = is_home(id);
-}
-
-Tokens PrepaidLedger::Lend(const CustomerId& customer, Tokens wanted,
-                           Tokens least, absl::Time now) {
-  const auto it = accounts_.find(customer);
-  if (it == accounts_.end() || !it->second.prepaid.has_value()) {
-    return Tokens(0);
-  }
-  Account& account = it->second;
-  const std::int64_t amount = std::clamp<std::int64_t>(
-      FreeOf(account, now), 0, std::max<std::int64_t>(0, wanted.value()));
-  if (amount < least.value()) return Tokens(0);
-  NoteUse(&account, amount, now);
-  account.lent += amount;
-  return Tokens(amount);
-}
-
-std::vector<LoanRequest> PrepaidLedger::TakeLoanRequests(absl::Time now) {
-  std::vector<LoanRequest> requests;
-  for (auto& [id, account] : accounts_) {
-    if (!account.loan_wanted || account.loan_in_flight) continue;
-    account.loan_wanted = false;
-    account.loan_in_flight = true;
-    const std::int64_t free = std::max<std::int64_t>(0, FreeOf(account, now));
-    const auto ahead = static_cast<std::int64_t>(
-        RateOf(account, now) * absl::ToDoubleSeconds(kBorrowAhead));
-    requests.push_back(
-        {.customer = id,
-         .amount = Tokens(account.wanted + ahead - free),
-         .least = Tokens(account.least_wanted - free),
-         .from_anyone = account.platform_away || account.pool_empty});
-  }
-  return requests;
-}
-
-void PrepaidLedger::Borrow(const CustomerId& customer, Tokens amount) {
-  accounts_[customer].lent -= amount.value();
-}
-
-void PrepaidLedger::CompleteLoan(const CustomerId& customer, bool enough,
-                                 absl::Time now) {
-  Account& account = accounts_[customer];
-  account.loan_in_flight = false;
-  account.next_loan = enough ? absl::InfinitePast() : now + kLoanInterval;
-  account.wanted = 0;
-  account.least_wanted = 0;
-}
-
 }  // namespace wisteriareel
--- a/src/forward/request_router.cc
+++ b/src/forward/request_router.cc
@@ -58,8 +58,8 @@
                    .reason = Reason::kConfigNotLoaded,
                    .retry_after = kNotLoadedRetryAfter};
   }
-  const std::string_view path =
-      std::string_view(facts.path).substr(0, facts.path.find('?'));
+  const std::string_view whole = facts.path;
+  const std::string_view path = whole.substr(0, whole.find('?'));
   const Route* route = table_->FindRoute(facts.host, path);
   if (route == nullptr) return Unknown(404, Reason::kNotFound, now);
   ExchangeRequest request{.facts = facts,
--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -104,14 +104,10 @@
         need.tried.end()) {
       continue;
     }
-    if (state.ejected_until > now) {
-      ejected.push_back(&state);
-    } else if (state.on_trial && state.in_flight > 0) {
-      // One request at a time tells whether the target is back.
-      ejected.push_back(&state);
-    } else {
-      usable.push_back(&state);
-    }
+    // One request at a time tells whether an ejected target is back.
+    const bool out =
+        state.ejected_until > now || (state.on_trial && state.in_flight > 0);
+    (out ? ejected : usable).push_back(&state);
   }
   // Ejection never takes the last target.
   return usable.empty() ? ejected : usable;
@@ -157,13 +153,13 @@
                        StableHash(b->entry.id.value(), seed);
               });
   }
-  State* best = nullptr;
-  double best_cost = 0;
-  double best_prefill = 0;
-  for (std::size_t n = 0; n < candidates.size(); ++n) {
+  State* best = candidates.front();
+  double best_cost = Cost(*best, need, 0, now);
+  double best_prefill = PrefillMs(*best, need, 0, now);
+  for (std::size_t n = 1; n < candidates.size(); ++n) {
     const int rank = need.shared_key.empty() ? 0 : static_cast<int>(n);
     const double cost = Cost(*candidates[n], need, rank, now);
-    if (best != nullptr && cost >= best_cost) continue;
+    if (cost >= best_cost) continue;
     best = candidates[n];
     best_cost = cost;
     best_prefill = PrefillMs(*best, need, rank, now);
