Ask engines for their load before a request is placed

One part that is shared by nearly all of a route's requests, when it was the longest, named one home for all of them. Ruled out: one's own delays and counts (a machine meets a target every 14 s). Change: before a request is placed, the first two targets of its rank are asked for their queue, runs and memory, at most every 120 ms each; others are taken to have the mean. The deepest shared part names the home.

--- a/daemons/wisteriareel_router.cc
+++ b/daemons/wisteriareel_router.cc
@@ -6,6 +6,7 @@
 
 #include "boost/asio/io_context.hpp"
 #include "daemons/command_line.h"
+#include "platform/load_client.h"
 #include "platform/message_codec.h"
 #include "platform/store_client.h"
 #include "src/observability/log4cxx_event_log.h"
@@ -68,8 +69,11 @@
   boost::asio::io_context io(1);
   const platform::MessageCodec codec;
   platform::StoreClient store(&io, settings.table, &log);
+  platform::LoadClient loads(&io);
   RouterDaemon daemon(
-      settings, {.codec = &codec, .table = &store, .source = &store}, &io, &log,
+      settings,
+      {.codec = &codec, .table = &store, .source = &store, .loads = &loads},
+      &io, &log,
       [&path, &settings, &log] { CheckChangedSettings(path, settings, &log); });
   LastReason reason;
   if (!daemon.Start(&reason)) {
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -98,20 +98,32 @@
     need.own_tokens = request_.facts.prompt_tokens;
     return need;
   }
-  // All parts but the last can be shared; the longest one names their home.
-  const PromptPart* longest = nullptr;
+  // All parts but the last can be shared. The deepest of them names the home:
+  // parts before it are shared by more requests than one target can read.
   for (std::size_t n = 0; n + 1 < parts.size(); ++n) {
     need.shared_tokens += parts[n].tokens;
-    if (longest == nullptr || parts[n].tokens > longest->tokens) {
-      longest = &parts[n];
-    }
+    need.shared_key = parts[n].id;
   }
-  if (longest != nullptr) need.shared_key = longest->id;
   need.own_tokens = request_.facts.prompt_tokens - need.shared_tokens;
   return need;
 }
 
 void Exchange::Dispatch(absl::Time now) {
+  const std::vector<TargetEntry> asked = services_.pool->ToAsk(Need(), now);
+  if (asked.empty()) {
+    Send(now);
+    return;
+  }
+  phase_ = Phase::kPlacing;
+  SetTimer(now);
+  host_->AskLoads(asked);
+}
+
+void Exchange::OnLoads(absl::Time now) {
+  if (phase_ == Phase::kPlacing) Send(now);
+}
+
+void Exchange::Send(absl::Time now) {
   placement_ = services_.pool->Choose(Need(), now);
   if (!placement_.has_value()) {
     RefuseWith(503, Reason::kNoTargetAvailable, kBusyRetryAfter, now);
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -73,6 +73,9 @@
 
   // Connects and sends the request. At most one attempt is open at a time.
   virtual void StartAttempt(const AttemptOptions& options) = 0;
+  // Asks the targets for their load. OnLoads follows when all have answered
+  // or were waited for, unless the exchange has ended before.
+  virtual void AskLoads(const std::vector<TargetEntry>& targets) = 0;
   // Gives up the open attempt and closes its connection.
   virtual void CancelAttempt() = 0;
   // Sends the head of the current attempt's answer; `whole_body` is set if the
@@ -129,6 +132,9 @@
   // The ledger has changed; a request that waits for tokens tries again.
   void OnLedgerChanged(absl::Time now);
 
+  // The targets that AskLoads named have answered or were waited for.
+  void OnLoads(absl::Time now);
+
   // The request was not sent at all.
   void OnUnreachable(absl::Time now);
   // The target's answer has begun.
@@ -151,6 +157,8 @@
     kIdle,
     // Waits for tokens.
     kBudget,
+    // Waits for the load of targets.
+    kPlacing,
     // Sent, no head yet.
     kSent,
     // The answer arrives.
@@ -160,7 +168,10 @@
 
   absl::Time Deadline() const;
   void TryReserve(absl::Time now);
+  // Sends the request to a target, whose load is asked for first if it isn't
+  // known.
   void Dispatch(absl::Time now);
+  void Send(absl::Time now);
   PlacementNeed Need() const;
   // Sends the request once more if that is allowed. `not_run` says whether
   // the last attempt is proved not to have run.
--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -19,6 +19,21 @@
 constexpr double kRereadShare[] = {0.0, 0.5, 1.0};
 // Other instances send to the same targets: work seen here stands for more.
 constexpr double kUnseenWork = 1.2;
+// Targets that are asked for their load before a request is placed: the home
+// of its shared part, and the one that reads it least often otherwise.
+constexpr std::size_t kAskedTargets = 2;
+// A report is used again for this long, about its own lag.
+constexpr absl::Duration kReportFresh = absl::Milliseconds(120);
+// A report that is older says nothing any more.
+constexpr absl::Duration kReportMemory = absl::Milliseconds(500);
+// Assumed time of reading a prompt until one was placed.
+constexpr double kUnknownPrefillMs = 50;
+// Weight of a new value in the means over requests and reports.
+constexpr double kMeanWeight = 0.05;
+// A target that doesn't answer, or has no memory left for the request, is
+// used only if all others are worse than this.
+constexpr double kNoAnswerMs = 600;
+constexpr double kNoMemoryMs = 400;
 // Extra time of a target in another zone.
 constexpr double kOtherZoneMs = 2.0;
 // Observed waiting loses its meaning at this rate.
@@ -38,6 +53,11 @@
   return value * std::exp(-absl::FDivDuration(age, memory));
 }
 
+// Takes `value` into a mean; the first value is all that is known.
+void Average(double value, std::optional<double>* mean) {
+  *mean = mean->has_value() ? **mean + kMeanWeight * (value - **mean) : value;
+}
+
 }  // namespace
 
 TargetPool::TargetPool(TargetPoolOptions options)
@@ -135,24 +155,73 @@
     const double slots = std::max(1, state.entry.slots);
     return cost + 100.0 * kUnseenWork * state.in_flight / slots;
   }
-  cost += PrefillMs(state, need, rank, now);
-  cost +=
+  return cost + PrefillMs(state, need, rank, now) + WorkMs(state, need, now);
+}
+
+double TargetPool::ReportedMs(const TargetLoad& load) const {
+  // Half of a prompt is left of those that are being read, on average.
+  return mean_prefill_ms_.value_or(kUnknownPrefillMs) *
+             (load.queued + 0.5 * load.reading) +
+         kRunningMs * load.running;
+}
+
+double TargetPool::WorkMs(const State& state, const PlacementNeed& need,
+                          absl::Time now) const {
+  const double seen =
       kUnseenWork * (state.pending_prefill_ms + kRunningMs * state.in_flight);
-  return cost;
+  if (now - state.asked_at > kReportMemory) {
+    return seen + mean_reported_ms_.value_or(0);
+  }
+  if (!state.load.has_value()) return seen + kNoAnswerMs;
+  double work = std::max(seen, ReportedMs(*state.load));
+  const Tokens needed = need.own_tokens + need.shared_tokens;
+  if (state.load->cache_used + needed > state.load->cache_total) {
+    work += kNoMemoryMs;
+  }
+  return work;
+}
+
+std::vector<TargetEntry> TargetPool::ToAsk(const PlacementNeed& need,
+                                           absl::Time now) {
+  std::vector<TargetEntry> asked;
+  if (!need.engine) return asked;
+  const std::vector<State*> ranked = Ranked(need, now);
+  if (ranked.size() < 2) return asked;
+  for (std::size_t n = 0; n < std::min(kAskedTargets, ranked.size()); ++n) {
+    if (now - ranked[n]->asked_at < kReportFresh) continue;
+    asked.push_back(ranked[n]->entry);
+  }
+  return asked;
+}
+
+void TargetPool::NoteLoad(const TargetId& id,
+                          const std::optional<TargetLoad>& load,
+                          absl::Time now) {
+  const auto it = targets_.find(id);
+  if (it == targets_.end()) return;
+  it->second.load = load;
+  it->second.asked_at = now;
+  if (!load.has_value()) return;
+  Average(ReportedMs(*load), &mean_reported_ms_);
+}
+
+std::vector<TargetPool::State*> TargetPool::Ranked(const PlacementNeed& need,
+                                                   absl::Time now) {
+  std::vector<State*> candidates = Candidates(need, now);
+  if (need.shared_key.empty()) return candidates;
+  const std::uint64_t seed = StableHash(need.shared_key);
+  std::sort(candidates.begin(), candidates.end(),
+            [seed](const State* a, const State* b) {
+              return StableHash(a->entry.id.value(), seed) >
+                     StableHash(b->entry.id.value(), seed);
+            });
+  return candidates;
 }
 
 std::optional<Placement> TargetPool::Choose(const PlacementNeed& need,
                                             absl::Time now) {
-  std::vector<State*> candidates = Candidates(need, now);
+  const std::vector<State*> candidates = Ranked(need, now);
   if (candidates.empty()) return std::nullopt;
-  if (!need.shared_key.empty()) {
-    const std::uint64_t seed = StableHash(need.shared_key);
-    std::sort(candidates.begin(), candidates.end(),
-              [seed](const State* a, const State* b) {
-                return StableHash(a->entry.id.value(), seed) >
-                       StableHash(b->entry.id.value(), seed);
-              });
-  }
   State* best = candidates.front();
   double best_cost = Cost(*best, need, 0, now);
   double best_prefill = PrefillMs(*best, need, 0, now);
@@ -167,6 +236,7 @@
   ++best->in_flight;
   if (need.engine) {
     best->pending_prefill_ms += best_prefill;
+    Average(best_prefill, &mean_prefill_ms_);
     RememberPart(best, need, now);
   }
   return Placement{.target = best->entry,
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -10,6 +10,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "src/forward/target_entry.h"
+#include "src/forward/target_load.h"
 #include "wisteriareel/types.h"
 
 namespace wisteriareel {
@@ -86,9 +87,10 @@
 
 // The targets of all services: what the platform lists, what this instance
 // saw of each, and the choice among them. Answers these load patterns: shared
-// prompt parts that are read again at every target, a target that fails fast
-// and so looks idle, dark targets, and targets whose zone is far. Not
-// thread-safe.
+// prompt parts that are read again at every target, a home that more requests
+// meet than it can read, sent by many instances that each see few of them, a
+// target that fails fast and so looks idle, dark targets, and targets whose
+// zone is far. Not thread-safe.
 class TargetPool {
  public:
   explicit TargetPool(TargetPoolOptions options);
@@ -98,6 +100,14 @@
   std::vector<TargetChange> ApplyListing(
       const std::vector<TargetEntry>& listing, absl::Time now);
 
+  // Returns the targets whose load should be known before Choose: the first
+  // ones of the request's rank, if they weren't asked a moment ago.
+  std::vector<TargetEntry> ToAsk(const PlacementNeed& need, absl::Time now);
+
+  // The target was asked for its load. Nullopt means that it didn't answer.
+  void NoteLoad(const TargetId& id, const std::optional<TargetLoad>& load,
+                absl::Time now);
+
   // Chooses a target and counts the request there. Returns nullopt if no
   // target can take it.
   std::optional<Placement> Choose(const PlacementNeed& need, absl::Time now);
@@ -127,6 +137,9 @@
     int in_flight = 0;
     // Prompt reading that this instance still waits for.
     double pending_prefill_ms = 0;
+    // Its last report, and when it was asked for. Unset if it didn't answer.
+    std::optional<TargetLoad> load;
+    absl::Time asked_at = absl::InfinitePast();
     // Smoothed waiting beyond the expected, as of `delay_at`.
     double delay_ms = 0;
     absl::Time delay_at = absl::InfinitePast();
@@ -142,11 +155,17 @@
 
   double Cost(const State& state, const PlacementNeed& need, int rank,
               absl::Time now) const;
+  // Expected waiting for the work that a target has, in milliseconds.
+  double WorkMs(const State& state, const PlacementNeed& need,
+                absl::Time now) const;
+  double ReportedMs(const TargetLoad& load) const;
   double PrefillMs(const State& state, const PlacementNeed& need, int rank,
                    absl::Time now) const;
   bool Usable(const State& state, const ServiceId& service,
               absl::Time now) const;
   std::vector<State*> Candidates(const PlacementNeed& need, absl::Time now);
+  // Like Candidates, the home of the request's shared part first.
+  std::vector<State*> Ranked(const PlacementNeed& need, absl::Time now);
   void RememberPart(State* state, const PlacementNeed& need, absl::Time now);
   std::optional<TargetChange> Eject(State* state, absl::Time now);
   double MeanFailure(const ServiceId& service) const;
@@ -155,6 +174,9 @@
   bool listed_ = false;
   absl::Time last_listing_ = absl::InfinitePast();
   absl::Time grace_until_ = absl::InfinitePast();
+  // Smoothed time of reading a prompt, and waiting at targets that reported.
+  std::optional<double> mean_prefill_ms_;
+  std::optional<double> mean_reported_ms_;
   std::map<TargetId, State> targets_;
 };
 
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -26,6 +26,7 @@
 #include "src/router/router_settings.h"
 #include "src/router/target_watch.h"
 #include "src/runtime/caller_connection.h"
+#include "src/runtime/load_probe.h"
 #include "src/runtime/message_codec.h"
 #include "src/runtime/small_server.h"
 #include "wisteriareel/async_table.h"
@@ -39,6 +40,7 @@
   const MessageCodec* codec = nullptr;
   AsyncTable* table = nullptr;
   DeploymentSource* source = nullptr;
+  TargetLoadSource* loads = nullptr;
 };
 
 // One instance of the fleet: composes the decisions with what drives them, on
@@ -98,6 +100,7 @@
   PrepaidLedger ledger_;
   RequestRouter router_;
   TargetConnections targets_;
+  LoadProbe loads_;
   OverloadGuard overload_;
   CallerServices services_;
   ConfigWatch config_watch_;
--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -181,6 +181,7 @@
     EndRequest();
     return;
   }
+  ++requests_;
   exchange_ = std::make_unique<Exchange>(
       std::get<ExchangeRequest>(std::move(admitted)), services_.exchange,
       static_cast<ExchangeHost*>(this));
@@ -292,6 +293,15 @@
                 .fresh_connection = options.fresh_connection});
 }
 
+void CallerConnection::AskLoads(const std::vector<TargetEntry>& targets) {
+  services_.loads->Ask(
+      targets, [self = shared_from_this(), request = requests_] {
+        if (self->closed_ || request != self->requests_) return;
+        self->Drive(
+            [](Exchange* exchange, absl::Time now) { exchange->OnLoads(now); });
+      });
+}
+
 void CallerConnection::CancelAttempt() {
   if (link_ == nullptr) return;
   link_->Cancel();
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -18,6 +18,7 @@
 #include "src/forward/overload_guard.h"
 #include "src/forward/request_router.h"
 #include "src/runtime/head_writer.h"
+#include "src/runtime/load_probe.h"
 #include "src/runtime/message_codec.h"
 #include "src/runtime/target_connections.h"
 #include "src/runtime/target_link.h"
@@ -46,6 +47,7 @@
   const MessageCodec* codec = nullptr;
   RequestRouter* router = nullptr;
   TargetConnections* targets = nullptr;
+  LoadProbe* loads = nullptr;
   OverloadGuard* overload = nullptr;
   RandomSource* random = nullptr;
   ExchangeServices exchange;
@@ -106,6 +108,7 @@
   void Drive(const Event& event);
 
   void StartAttempt(const AttemptOptions& options) override;
+  void AskLoads(const std::vector<TargetEntry>& targets) override;
   void CancelAttempt() override;
   void SendHead(std::optional<std::size_t> whole_body) override;
   void SendBody(std::string bytes) override;
@@ -137,6 +140,8 @@
   std::shared_ptr<const std::string> request_body_;
   std::unique_ptr<Exchange> exchange_;
   RequestId request_id_;
+  // Counts requests, so that an answer for an earlier one is told apart.
+  std::uint64_t requests_ = 0;
   std::shared_ptr<TargetLink> link_;
   std::optional<AnswerHead> answer_head_;
   bool head_sent_ = false;
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/escaping.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
+#include "platform/load_client.h"
 #include "platform/manifest_codec.h"
 #include "platform/message_codec.h"
 #include "platform/store_codec.h"
@@ -19,6 +20,27 @@
 using ::testing::Not;
 using ::testing::SizeIs;
 
+TEST(LoadCodecTest, AReportIsRead) {
+  const auto load = DecodeLoad(
+      R"({"stage": "colocated", "queued": 2, "running": 3, "kv_used": 41000,
+          "kv_total": 90000, "runs": [["a", 100, 0, 5], ["b", 900, 7, 5],
+                                      ["c", 50, 0, 1], "x"]})");
+  ASSERT_TRUE(load.has_value());
+  EXPECT_EQ(*load, (TargetLoad{.queued = 2,
+                               .running = 3,
+                               .reading = 2,
+                               .cache_used = Tokens(41000),
+                               .cache_total = Tokens(90000)}));
+}
+
+TEST(LoadCodecTest, AReportThatCannotBeReadIsNone) {
+  for (const char* text :
+       {"", "[]", "{}", R"({"queued": 1})",
+        R"({"queued": "1", "running": 3, "kv_used": 1, "kv_total": 2})"}) {
+    EXPECT_EQ(DecodeLoad(text), std::nullopt) << text;
+  }
+}
+
 constexpr char kManifest[] = R"({
   "version": 7,
   "routes": [
--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -1,5 +1,6 @@
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
     open = true;
     attempts.push_back(options);
   }
+  void AskLoads(const std::vector<TargetEntry>& targets) override {
+    asked = targets;
+  }
   void CancelAttempt() override { open = false; }
   void SendHead(std::optional<std::size_t> whole_body) override {
     EXPECT_FALSE(head_sent) << "two heads";
@@ -41,6 +45,7 @@
 
   bool open = false;
   std::vector<AttemptOptions> attempts;
+  std::vector<TargetEntry> asked;
   bool head_sent = false;
   std::optional<std::size_t> length;
   std::string body;
@@ -132,6 +137,52 @@
   std::unique_ptr<Exchange> exchange_;
 };
 
+TEST_F(ExchangeTest, AnEnginesLoadIsAskedForBeforeARequestIsSent) {
+  ListTargets(3);
+  engine_ = EngineSpec{.slots = 64};
+  Start();
+  EXPECT_THAT(host_.asked, SizeIs(2));
+  EXPECT_THAT(host_.attempts, SizeIs(0));
+  exchange_->OnLoads(kStart + absl::Milliseconds(2));
+  EXPECT_THAT(host_.attempts, SizeIs(1));
+}
+
+TEST_F(ExchangeTest, ALoadThatComesAfterTheCallerLeftStartsNothing) {
+  ListTargets(3);
+  engine_ = EngineSpec{.slots = 64};
+  Start();
+  exchange_->OnCallerGone(kStart + absl::Milliseconds(1));
+  exchange_->OnLoads(kStart + absl::Milliseconds(2));
+  EXPECT_THAT(host_.attempts, SizeIs(0));
+}
+
+TEST_F(ExchangeTest, ARequestWhoseTimeEndsWhileLoadsAreAskedForIsRefused) {
+  ListTargets(3);
+  engine_ = EngineSpec{.slots = 64};
+  Start();
+  exchange_->OnTimer(host_.timer);
+  ASSERT_TRUE(host_.refused.has_value());
+  EXPECT_EQ(host_.refused->status, 504);
+  exchange_->OnLoads(host_.timer);
+  EXPECT_THAT(host_.attempts, SizeIs(0));
+}
+
+TEST_F(ExchangeTest, RequestsThatShareOnlyTheirFirstPartHaveDifferentHomes) {
+  ListTargets(40);
+  engine_ = EngineSpec{.slots = 64};
+  std::set<TargetId> homes;
+  for (int n = 0; n < 10; ++n) {
+    // A long part that all share, and a shorter one of each subject.
+    facts_.prompt_parts = {
+        {.id = "all", .tokens = Tokens(9000)},
+        {.id = absl::StrCat("subject", n), .tokens = Tokens(3000)},
+        {.id = "own", .tokens = Tokens(10)}};
+    Start();
+    homes.insert(host_.asked.front().id);
+  }
+  EXPECT_GT(homes.size(), 5U);
+}
+
 TEST_F(ExchangeTest, AWholeAnswerIsRelayedWithItsLength) {
   ListTargets(1);
   Start();
--- a/test/forward_target_pool_test.cc
+++ b/test/forward_target_pool_test.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,6 +89,111 @@
   EXPECT_GE(used.size(), 3U);
 }
 
+TEST(TargetPoolTest, OnlyTheFirstTargetsOfTheRankAreAskedForTheirLoad) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(12), kStart);
+  const PlacementNeed need = SharedNeed("part");
+  const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
+  ASSERT_THAT(asked, SizeIs(2));
+  for (const TargetEntry& target : asked) {
+    pool.NoteLoad(target.id, TargetLoad{}, kStart);
+  }
+  EXPECT_THAT(pool.ToAsk(need, kStart + absl::Milliseconds(50)), IsEmpty());
+  EXPECT_THAT(pool.ToAsk(need, kStart + absl::Seconds(1)), SizeIs(2));
+  PlacementNeed plain{.service = ServiceId("chat")};
+  EXPECT_THAT(pool.ToAsk(plain, kStart), IsEmpty());
+}
+
+TEST(TargetPoolTest, AHomeThatReportsALongQueueIsPassedOver) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(12), kStart);
+  const PlacementNeed need = SharedNeed("part");
+  const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
+  const auto quiet = pool.Choose(need, kStart);
+  EXPECT_EQ(quiet->target.id, asked[0].id);
+  pool.Finish(*quiet, TargetOutcome::kAnswered, kStart);
+  pool.NoteLoad(asked[0].id,
+                TargetLoad{.queued = 40,
+                           .running = 64,
+                           .reading = 20,
+                           .cache_total = Tokens(400000)},
+                kStart);
+  pool.NoteLoad(asked[1].id, TargetLoad{.cache_total = Tokens(400000)}, kStart);
+  EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[1].id);
+}
+
+TEST(TargetPoolTest, AHomeWithoutMemoryForTheRequestIsPassedOver) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(12), kStart);
+  const PlacementNeed need = SharedNeed("part");
+  const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
+  pool.NoteLoad(asked[0].id,
+                TargetLoad{.running = 3,
+                           .cache_used = Tokens(390000),
+                           .cache_total = Tokens(400000)},
+                kStart);
+  pool.NoteLoad(asked[1].id, TargetLoad{.cache_total = Tokens(400000)}, kStart);
+  EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[1].id);
+}
+
+TEST(TargetPoolTest, ATargetThatDoesNotAnswerIsUsedLast) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(2), kStart);
+  const PlacementNeed need = SharedNeed("part");
+  const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
+  pool.NoteLoad(asked[0].id, std::nullopt, kStart);
+  EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[1].id);
+  pool.NoteLoad(asked[1].id, std::nullopt, kStart);
+  EXPECT_TRUE(pool.Choose(need, kStart).has_value());
+}
+
+// Many instances, each of which sees few of the requests, and one subject that
+// gets a large part of the traffic. Reports lag behind.
+TEST(TargetPoolTest, ManyInstancesDoNotMeetAtOneHome) {
+  constexpr int kInstances = 40;
+  constexpr int kTargets = 20;
+  constexpr int kRequests = 400;
+  constexpr absl::Duration kLag = absl::Milliseconds(100);
+  constexpr absl::Duration kBetween = absl::Milliseconds(10);
+  constexpr absl::Duration kReading = absl::Milliseconds(60);
+  std::vector<TargetPool> pools;
+  for (int n = 0; n < kInstances; ++n) {
+    pools.emplace_back(TargetPoolOptions{.zone = ZoneId("a")});
+    pools.back().ApplyListing(Targets(kTargets), kStart);
+  }
+  struct Reading {
+    absl::Time arrived;
+    absl::Time end;
+  };
+  std::map<TargetId, std::vector<Reading>> readings;
+  absl::Duration longest;
+  for (int n = 0; n < kRequests; ++n) {
+    const absl::Time now = kStart + n * kBetween;
+    TargetPool& pool = pools[static_cast<std::size_t>(n * 7 % kInstances)];
+    const PlacementNeed need =
+        SharedNeed(n % 2 == 0 ? "hot" : absl::StrCat("part", n % 30));
+    for (const TargetEntry& target : pool.ToAsk(need, now)) {
+      const std::vector<Reading>& all = readings[target.id];
+      const auto open =
+          std::count_if(all.begin(), all.end(), [&](const Reading& reading) {
+            return reading.arrived <= now - kLag && reading.end > now - kLag;
+          });
+      pool.NoteLoad(target.id,
+                    TargetLoad{.queued = static_cast<int>(open),
+                               .cache_total = Tokens(400000)},
+                    now);
+    }
+    const auto placement = pool.Choose(need, now);
+    ASSERT_TRUE(placement.has_value());
+    std::vector<Reading>& all = readings[placement->target.id];
+    const absl::Time begin = all.empty() ? now : std::max(now, all.back().end);
+    all.push_back({.arrived = now, .end = begin + kReading});
+    longest = std::max(longest, all.back().end - now);
+  }
+  // The callers' objective for the first event.
+  EXPECT_LT(longest, absl::Milliseconds(600));
+}
+
 TEST(TargetPoolTest, ADrainingTargetGetsNothingFromTheListingOn) {
   TargetPool pool({.zone = ZoneId("a")});
   std::vector<TargetEntry> targets = Targets(2);
--- a/test/router_daemon_test.cc
+++ b/test/router_daemon_test.cc
@@ -123,6 +123,20 @@
   const TargetEntry target_;
 };
 
+// Targets that report no load.
+class NoLoads final : public TargetLoadSource {
+ public:
+  explicit NoLoads(boost::asio::io_context* io) : io_(io) {}
+
+  void ReadLoad(const TargetEntry& /*target*/, absl::Duration /*timeout*/,
+                Done done) override {
+    boost::asio::post(*io_, [done = std::move(done)] { done(std::nullopt); });
+  }
+
+ private:
+  boost::asio::io_context* const io_;
+};
+
 // A target that answers each connection as the test says, byte for byte.
 class ScriptedTarget {
  public:
@@ -195,11 +209,13 @@
     settings_.listen.callers = {.host = "127.0.0.1", .port = FreePort()};
     settings_.listen.ready = {.host = "127.0.0.1", .port = FreePort()};
     settings_.listen.peers = {.host = "127.0.0.1", .port = FreePort()};
-    daemon_ = std::make_unique<RouterDaemon>(
-        settings_,
-        RouterPlatform{
-            .codec = &codec_, .table = &table_, .source = source_.get()},
-        &io_, DiscardEvents(), [] {});
+    daemon_ =
+        std::make_unique<RouterDaemon>(settings_,
+                                       RouterPlatform{.codec = &codec_,
+                                                      .table = &table_,
+                                                      .source = source_.get(),
+                                                      .loads = &loads_},
+                                       &io_, DiscardEvents(), [] {});
     LastReason reason;
     ASSERT_TRUE(daemon_->Start(&reason)) << reason.detail();
     thread_ = std::thread([this] { daemon_->Run(); });
@@ -234,6 +250,7 @@
   const platform::MessageCodec codec_{};
   std::unique_ptr<FixedSource> source_;
   RouterSettings settings_;
+  NoLoads loads_{&io_};
   std::unique_ptr<RouterDaemon> daemon_;
   std::thread thread_;
 };
