Let borrowers wait for their home's order

Ruled out: an exhausted budget (11.7 of 26.4 million granted), a stuck call. Change: a home that can't lend enough orders what was asked for and says so; the borrower asks again shortly, orders itself only without a home, and refuses at once where the pool is empty.

--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -174,15 +174,23 @@
   return ReserveLater(&account, now);
 }
 
+bool PrepaidLedger::CanOrder(const Account& account, absl::Time now) {
+  return !account.platform_away &&
+         (!account.pool_empty || account.next_order <= now);
+}
+
 ReserveResult PrepaidLedger::ReserveLater(Account* account, absl::Time now) {
-  const bool can_order = !account->platform_away &&
-                         (!account->pool_empty || account->next_order <= now);
+  const bool can_order = CanOrder(*account, now);
   if (account->home && can_order) return ReserveResult::kWait;
   if (account->loan_in_flight) return ReserveResult::kWait;
   if (account->next_loan <= now) {
     account->loan_wanted = true;
     return ReserveResult::kWait;
   }
+  if (account->loan_end == LoanEnd::kSoon) return ReserveResult::kWait;
+  if (account->loan_end == LoanEnd::kPoolEmpty) {
+    return ReserveResult::kHeldElsewhere;
+  }
   if (can_order) {
     account->order_allowed = true;
     return ReserveResult::kWait;
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -61,6 +61,29 @@
   friend bool operator==(const LoanRequest&, const LoanRequest&) = default;
 };
 
+// What another instance can expect of one that was asked for a loan and can't
+// lend enough.
+enum class LoanOutlook : std::uint8_t {
+  // It has asked the platform and will have more shortly.
+  kSoon,
+  // The platform has no more to grant.
+  kPoolEmpty,
+  // It can't reach the platform, or isn't the customer's home.
+  kNone,
+};
+
+// The answer to a question for a loan.
+struct Loan {
+  Tokens amount;
+  // Counts if the amount is too small.
+  LoanOutlook outlook = LoanOutlook::kNone;
+
+  friend bool operator==(const Loan&, const Loan&) = default;
+};
+
+// How a round of questions for a loan ended.
+enum class LoanEnd : std::uint8_t { kEnough, kSoon, kPoolEmpty, kNone };
+
 // A transaction to be sent for a customer.
 struct LedgerOrder {
   CustomerId customer;
@@ -81,7 +104,10 @@
 // reserve for outages, used once the platform hasn't answered for
 // `reserve_after`. One instance, the home, draws a customer's tokens from the
 // platform ahead of need and lends them to the others, so that the pool row has
-// one writer as a rule. The next life of an instance takes over the row: if it
+// one writer as a rule. What the others want and it doesn't have yet becomes
+// part of its own next order; they order themselves only where it can't help.
+// Answers this load pattern: a customer's tokens run short at many instances at
+// once, whose orders would conflict with each other and with the home's. The next life of an instance takes over the row: if it
 // can show that its predecessor ended before that time was over, the reserve is
 // its own again; otherwise all that was granted counts as used. Not
 // thread-safe; opens no connection.
@@ -146,10 +172,10 @@
   View ViewOf(const CustomerId& customer) const;
 
   // Takes up to `wanted` tokens out of this ledger for another instance, or
-  // none if less than `least` are free. Returns the amount. A loan whose
-  // answer is lost stays out of use.
-  Tokens Lend(const CustomerId& customer, Tokens wanted, Tokens least,
-              absl::Time now);
+  // none if less than `least` are free. A home that can get more orders them.
+  // A loan whose answer is lost stays out of use.
+  Loan Lend(const CustomerId& customer, Tokens wanted, Tokens least,
+            absl::Time now);
 
   // Returns the loans that are wanted. Each must be answered by any number of
   // Borrow and one CompleteLoan.
@@ -158,9 +184,10 @@
   // Adds tokens lent by another instance.
   void Borrow(const CustomerId& customer, Tokens amount);
 
-  // All instances that were asked have answered, or were waited for. `enough`
-  // says whether at least what was needed was lent.
-  void CompleteLoan(const CustomerId& customer, bool enough, absl::Time now);
+  // All instances that were asked have answered, or were waited for. Returns
+  // when others may be asked again, if they may have more then.
+  std::optional<absl::Duration> CompleteLoan(const CustomerId& customer,
+                                             LoanEnd end, absl::Time now);
 
  private:
   struct Pool {
@@ -217,6 +244,8 @@
     bool order_allowed = false;
     bool loan_wanted = false;
     bool loan_in_flight = false;
+    // How the last round of questions ended.
+    LoanEnd loan_end = LoanEnd::kNone;
     // The last loans didn't suffice; no others are asked for until then.
     absl::Time next_loan = absl::InfinitePast();
     absl::Time changed_at = absl::InfinitePast();
@@ -235,6 +264,7 @@
                             absl::Time now) const;
   std::int64_t PlanGrant(const Account& account, absl::Time now) const;
   ReserveResult ReserveLater(Account* account, absl::Time now);
+  static bool CanOrder(const Account& account, absl::Time now);
   std::int64_t PlanReturn(const Account& account, absl::Time now) const;
   // Returns a number in [0, 1) that differs from call to call and from
   // instance to instance, so that instances don't act at the same moment.
--- a/src/forward/prepaid_ledger_loans.cc
+++ b/src/forward/prepaid_ledger_loans.cc
@@ -10,6 +10,9 @@
 
 // Others are asked again this long after they couldn't lend enough.
 constexpr absl::Duration kLoanInterval = absl::Milliseconds(400);
+// A home that has ordered more has it after a transaction of the table and a
+// conflict or two.
+constexpr absl::Duration kSoonInterval = absl::Milliseconds(50);
 // A borrower asks for what it needs within this time beside what waits, so
 // that not every request has to ask.
 constexpr absl::Duration kBorrowAhead = absl::Milliseconds(300);
@@ -21,19 +24,29 @@
   for (auto& [id, account] : accounts_) account.home = is_home(id);
 }
 
-Tokens PrepaidLedger::Lend(const CustomerId& customer, Tokens wanted,
-                           Tokens least, absl::Time now) {
+Loan PrepaidLedger::Lend(const CustomerId& customer, Tokens wanted,
+                         Tokens least, absl::Time now) {
   const auto it = accounts_.find(customer);
-  if (it == accounts_.end() || !it->second.prepaid.has_value()) {
-    return Tokens(0);
-  }
+  if (it == accounts_.end() || !it->second.prepaid.has_value()) return {};
   Account& account = it->second;
   const std::int64_t amount = std::clamp<std::int64_t>(
       FreeOf(account, now), 0, std::max<std::int64_t>(0, wanted.value()));
-  if (amount < least.value()) return Tokens(0);
-  NoteUse(&account, amount, now);
-  account.lent += amount;
-  return Tokens(amount);
+  if (amount >= least.value()) {
+    NoteUse(&account, amount, now);
+    account.lent += amount;
+    return {.amount = Tokens(amount)};
+  }
+  if (!account.home) return {};
+  if (!CanOrder(account, now)) {
+    return {.outlook = account.pool_empty && !account.platform_away
+                           ? LoanOutlook::kPoolEmpty
+                           : LoanOutlook::kNone};
+  }
+  account.wanted += wanted.value();
+  account.least_wanted = account.least_wanted == 0
+                             ? least.value()
+                             : std::min(account.least_wanted, least.value());
+  return {.outlook = LoanOutlook::kSoon};
 }
 
 std::vector<LoanRequest> PrepaidLedger::TakeLoanRequests(absl::Time now) {
@@ -49,7 +62,8 @@
         {.customer = id,
          .amount = Tokens(account.wanted + ahead - free),
          .least = Tokens(account.least_wanted - free),
-         .from_anyone = account.platform_away || account.pool_empty});
+         .from_anyone = account.platform_away || account.pool_empty ||
+                        account.loan_end == LoanEnd::kPoolEmpty});
   }
   return requests;
 }
@@ -58,13 +72,28 @@
   accounts_[customer].lent -= amount.value();
 }
 
-void PrepaidLedger::CompleteLoan(const CustomerId& customer, bool enough,
-                                 absl::Time now) {
+std::optional<absl::Duration> PrepaidLedger::CompleteLoan(
+    const CustomerId& customer, LoanEnd end, absl::Time now) {
   Account& account = accounts_[customer];
   account.loan_in_flight = false;
-  account.next_loan = enough ? absl::InfinitePast() : now + kLoanInterval;
+  account.loan_end = end;
   account.wanted = 0;
   account.least_wanted = 0;
+  switch (end) {
+    case LoanEnd::kEnough:
+      account.next_loan = absl::InfinitePast();
+      return std::nullopt;
+    case LoanEnd::kSoon: {
+      const absl::Duration wait = kSoonInterval * (0.5 + Spread());
+      account.next_loan = now + wait;
+      return wait;
+    }
+    case LoanEnd::kPoolEmpty:
+    case LoanEnd::kNone:
+      account.next_loan = now + kLoanInterval;
+      return std::nullopt;
+  }
+  return std::nullopt;
 }
 
 }  // namespace wisteriareel
--- a/src/router/peer_loans.cc
+++ b/src/router/peer_loans.cc
@@ -9,6 +9,31 @@
 namespace wisteriareel {
 namespace {
 
+// Words for what a lender expects, behind the amount.
+constexpr char kSoon[] = "soon";
+constexpr char kPoolEmpty[] = "pool_empty";
+constexpr char kNone[] = "none";
+
+std::string EncodeLoan(const Loan& loan) {
+  const char* outlook = kNone;
+  if (loan.outlook == LoanOutlook::kSoon) outlook = kSoon;
+  if (loan.outlook == LoanOutlook::kPoolEmpty) outlook = kPoolEmpty;
+  return absl::StrCat(loan.amount.value(), " ", outlook);
+}
+
+std::optional<Loan> DecodeLoan(const std::string& text) {
+  const std::vector<std::string> fields = absl::StrSplit(text, ' ');
+  std::int64_t amount = 0;
+  if (fields.size() != 2 || !absl::SimpleAtoi(fields[0], &amount) ||
+      amount < 0) {
+    return std::nullopt;
+  }
+  Loan loan{.amount = Tokens(amount)};
+  if (fields[1] == kSoon) loan.outlook = LoanOutlook::kSoon;
+  if (fields[1] == kPoolEmpty) loan.outlook = LoanOutlook::kPoolEmpty;
+  return loan;
+}
+
 // Connections to more instances than this aren't kept.
 constexpr std::size_t kMaxCallers = 64;
 
@@ -77,11 +102,15 @@
         if (!reply.has_value()) {
           silent_[peer] = scheduler_->Now() + options_.silence;
         }
-        std::int64_t amount = 0;
-        if (reply.has_value() && reply->status == 200 &&
-            absl::SimpleAtoi(reply->body, &amount) && amount > 0) {
-          ledger_->Borrow(round->request.customer, Tokens(amount));
-          round->lent += amount;
+        const std::optional<Loan> loan =
+            reply.has_value() && reply->status == 200 ? DecodeLoan(reply->body)
+                                                      : std::nullopt;
+        if (loan.has_value() && round->home_asked) {
+          round->outlook = loan->outlook;
+        }
+        if (loan.has_value() && loan->amount > Tokens(0)) {
+          ledger_->Borrow(round->request.customer, loan->amount);
+          round->lent += loan->amount.value();
           peers_->OnLedgerChanged(round->request.customer);
         }
         Continue(round);
@@ -93,18 +122,33 @@
   if (--round->open > 0) return;
   const LoanRequest& request = round->request;
   if (round->home_asked && request.from_anyone &&
+      round->outlook != LoanOutlook::kSoon &&
       round->lent < request.least.value()) {
     round->home_asked = false;
     AskAnyone(round);
     return;
   }
-  ledger_->CompleteLoan(request.customer, round->lent >= request.least.value(),
-                        scheduler_->Now());
+  End(*round);
+}
+
+void PeerLoans::End(const Round& round) {
+  const LoanRequest& request = round.request;
+  LoanEnd end = LoanEnd::kNone;
+  if (round.outlook == LoanOutlook::kSoon) end = LoanEnd::kSoon;
+  if (round.outlook == LoanOutlook::kPoolEmpty) end = LoanEnd::kPoolEmpty;
+  if (round.lent >= request.least.value()) end = LoanEnd::kEnough;
+  const std::optional<absl::Duration> again =
+      ledger_->CompleteLoan(request.customer, end, scheduler_->Now());
+  if (again.has_value()) {
+    scheduler_->After(*again, [this, customer = request.customer] {
+      peers_->OnLedgerChanged(customer);
+    });
+  }
   log_->Write(EventId::kTokensBorrowed, Severity::kDebug,
               "tokens borrowed from other instances",
               {{"customer", request.customer.value()},
                {"wanted", absl::StrCat(request.amount.value())},
-               {"lent", absl::StrCat(round->lent)}});
+               {"lent", absl::StrCat(round.lent)}});
   peers_->OnLedgerChanged(request.customer);
 }
 
@@ -119,9 +163,8 @@
       !absl::SimpleAtoi(fields[1], &least)) {
     return std::nullopt;
   }
-  return absl::StrCat(
-      ledger->Lend(CustomerId(fields[2]), Tokens(wanted), Tokens(least), now)
-          .value());
+  return EncodeLoan(
+      ledger->Lend(CustomerId(fields[2]), Tokens(wanted), Tokens(least), now));
 }
 
 }  // namespace wisteriareel
--- a/src/router/peer_loans.h
+++ b/src/router/peer_loans.h
@@ -63,12 +63,15 @@
     bool home_asked = false;
     int open = 0;
     std::int64_t lent = 0;
+    // What the home expects, if it was asked and lent too little.
+    LoanOutlook outlook = LoanOutlook::kNone;
   };
 
   void AskHome(const std::shared_ptr<Round>& round);
   void AskAnyone(const std::shared_ptr<Round>& round);
   void Ask(const Endpoint& peer, const std::shared_ptr<Round>& round);
   void Continue(const std::shared_ptr<Round>& round);
+  void End(const Round& round);
 
   const PeerLoansOptions options_;
   boost::asio::io_context* const io_;
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -153,6 +153,8 @@
   if (target.starts_with(loan_path)) {
     const std::optional<std::string> answer = PeerLoans::AnswerLoan(
         target.substr(loan_path.size()), &ledger_, scheduler_.Now());
+    // The home may have to order what it was asked for.
+    ledger_runner_.Poke();
     if (answer.has_value()) return {.status = 200, .body = *answer};
     return {.status = 404};
   }
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -142,12 +142,15 @@
   void Lend(Instance* from, Instance* to, std::int64_t wanted, bool lost) {
     for (const LoanRequest& loan : to->ledger->TakeLoanRequests(now_)) {
       const Tokens amount =
-          from->ledger->Lend(loan.customer, loan.amount, loan.least, now_);
+          from->ledger->Lend(loan.customer, loan.amount, loan.least, now_)
+              .amount;
       if (!lost) to->ledger->Borrow(loan.customer, amount);
-      to->ledger->CompleteLoan(loan.customer, amount >= loan.least, now_);
+      to->ledger->CompleteLoan(
+          loan.customer,
+          amount >= loan.least ? LoanEnd::kEnough : LoanEnd::kNone, now_);
     }
     const Tokens amount =
-        from->ledger->Lend(kCustomer, Tokens(wanted), Tokens(0), now_);
+        from->ledger->Lend(kCustomer, Tokens(wanted), Tokens(0), now_).amount;
     if (!lost) to->ledger->Borrow(kCustomer, amount);
   }
 
@@ -329,13 +332,80 @@
   EXPECT_EQ(ledger->ViewOf(kCustomer).granted, Tokens(0));
 }
 
+TEST_F(PrepaidLedgerScript, WhatAHomeCannotLendYetBecomesPartOfItsOrder) {
+  const auto home = Make("1", InheritedUse::kAll);
+  Serve(home.get());
+  const Tokens wanted(70000);
+  EXPECT_EQ(home->Lend(kCustomer, wanted, wanted, now_),
+            (Loan{.outlook = LoanOutlook::kSoon}));
+  Serve(home.get());
+  EXPECT_EQ(home->Lend(kCustomer, wanted, wanted, now_).amount, wanted);
+}
+
+TEST_F(PrepaidLedgerScript, AHomeSaysThatThePoolIsEmpty) {
+  const auto home = Make("1", InheritedUse::kAll);
+  Serve(home.get());
+  const Tokens wanted(200000);
+  EXPECT_EQ(home->Lend(kCustomer, wanted, wanted, now_).outlook,
+            LoanOutlook::kSoon);
+  Serve(home.get());
+  EXPECT_EQ(home->Lend(kCustomer, wanted, wanted, now_).outlook,
+            LoanOutlook::kPoolEmpty);
+}
+
+// Seen on a played day: 59 instances that all ordered the tokens of a customer
+// after a cut kept each other and the home from getting any for ten seconds.
+TEST_F(PrepaidLedgerScript, ABorrowerLeavesTheOrderToItsHome) {
+  PrepaidLedger borrower({.instance = "j", .life = "1"});
+  borrower.SetBudgets(Budget(100000), now_ - absl::Minutes(1));
+  borrower.SetHomes([](const CustomerId&) { return false; });
+  EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
+            ReserveResult::kWait);
+  ASSERT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
+  const auto again = borrower.CompleteLoan(kCustomer, LoanEnd::kSoon, now_);
+  ASSERT_TRUE(again.has_value());
+  EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
+            ReserveResult::kWait);
+  EXPECT_TRUE(borrower.TakeOrders(now_).empty());
+  now_ += *again;
+  EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
+            ReserveResult::kWait);
+  EXPECT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
+}
+
+TEST_F(PrepaidLedgerScript, ABorrowerIsRefusedAtOnceWhereThePoolIsEmpty) {
+  PrepaidLedger borrower({.instance = "j", .life = "1"});
+  borrower.SetBudgets(Budget(100000), now_ - absl::Minutes(1));
+  borrower.SetHomes([](const CustomerId&) { return false; });
+  borrower.Reserve(kCustomer, Tokens(500), now_);
+  ASSERT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
+  borrower.CompleteLoan(kCustomer, LoanEnd::kPoolEmpty, now_);
+  EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
+            ReserveResult::kHeldElsewhere);
+}
+
+TEST_F(PrepaidLedgerScript, WithoutItsHomeABorrowerOrdersItself) {
+  PrepaidLedger borrower({.instance = "j", .life = "1"});
+  borrower.SetBudgets(Budget(100000), now_ - absl::Minutes(1));
+  borrower.SetHomes([](const CustomerId&) { return false; });
+  borrower.Reserve(kCustomer, Tokens(500), now_);
+  ASSERT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
+  borrower.CompleteLoan(kCustomer, LoanEnd::kNone, now_);
+  EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
+            ReserveResult::kWait);
+  Serve(&borrower);
+  EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
+            ReserveResult::kReserved);
+}
+
 TEST_F(PrepaidLedgerScript, ALoanMovesTokensWithoutThePlatform) {
   const auto lender = Make("1", InheritedUse::kAll);
   Serve(lender.get());
   PrepaidLedger borrower({.instance = "j", .life = "1"});
   borrower.SetInstances(2);
   borrower.SetBudgets(Budget(100000), now_);
-  const Tokens lent = lender->Lend(kCustomer, Tokens(500), Tokens(0), now_);
+  const Tokens lent =
+      lender->Lend(kCustomer, Tokens(500), Tokens(0), now_).amount;
   EXPECT_EQ(lent, Tokens(500));
   borrower.Borrow(kCustomer, lent);
   EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
