Send callers elsewhere before a weak link is full

From 0.4 of it the instance isn't ready for five seconds, has callers connect anew behind their answers and asks no engine for its load; from 0.75 it refuses a growing part.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -109,7 +109,11 @@
 }
 
 void Exchange::Dispatch(absl::Time now) {
-  const std::vector<TargetEntry> asked = services_.pool->ToAsk(Need(), now);
+  const bool saves_traffic =
+      services_.overload != nullptr && services_.overload->SavesTraffic(now);
+  const std::vector<TargetEntry> asked =
+      saves_traffic ? std::vector<TargetEntry>()
+                    : services_.pool->ToAsk(Need(), now);
   if (asked.empty()) {
     Send(now);
     return;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -10,6 +10,7 @@
 
 #include "absl/time/time.h"
 #include "src/forward/event_splitter.h"
+#include "src/forward/overload_guard.h"
 #include "src/forward/prepaid_ledger.h"
 #include "src/forward/repeat_allowance.h"
 #include "src/forward/request_facts.h"
@@ -96,6 +97,8 @@
 struct ExchangeServices {
   TargetPool* pool = nullptr;
   RepeatAllowance* repeats = nullptr;
+  // Null if the link has room for everything.
+  const OverloadGuard* overload = nullptr;
   PrepaidLedger* ledger = nullptr;
   EventLog* log = nullptr;
   Counters* counters = nullptr;
--- a/src/forward/overload_guard.cc
+++ b/src/forward/overload_guard.cc
@@ -14,9 +14,60 @@
 constexpr double kFirstLagMs = 40;
 // With this lag a caller's objective is missed by the queue alone.
 constexpr double kWorstLagMs = 160;
+// Traffic is averaged over this time: a few requests and their answers.
+constexpr absl::Duration kTrafficMemory = absl::Milliseconds(700);
+// Used share of the link from which the instance takes no new callers. The
+// balancer needs two seconds to notice, and traffic swings meanwhile.
+constexpr double kBusyLink = 0.4;
+// Callers that left come back when the instance is ready again, so it rests
+// for longer than the balancer needs to notice.
+constexpr absl::Duration kRest = absl::Seconds(5);
+// Used share of the link from which requests wait behind each other, and with
+// which nothing more gets through.
+constexpr double kQueueingLink = 0.75;
+constexpr double kFullLink = 1.0;
 
 }  // namespace
 
+OverloadGuard::OverloadGuard(const OverloadGuardOptions& options)
+    : options_(options) {}
+
+void OverloadGuard::Rate::Add(std::size_t bytes, absl::Time now) {
+  rate_ = At(now) +
+          static_cast<double>(bytes) / absl::ToDoubleSeconds(kTrafficMemory);
+  at_ = now;
+}
+
+double OverloadGuard::Rate::At(absl::Time now) const {
+  if (at_ == absl::InfinitePast()) return 0;
+  return rate_ * std::exp(-absl::FDivDuration(now - at_, kTrafficMemory));
+}
+
+void OverloadGuard::NoteTraffic(std::size_t received, std::size_t sent,
+                                absl::Time now) {
+  if (options_.link_bytes_per_s <= 0) return;
+  received_.Add(received, now);
+  sent_.Add(sent, now);
+  if (LinkUse(now) > kBusyLink) busy_until_ = now + kRest;
+}
+
+double OverloadGuard::LinkUse(absl::Time now) const {
+  if (options_.link_bytes_per_s <= 0) return 0;
+  return std::max(received_.At(now), sent_.At(now)) / options_.link_bytes_per_s;
+}
+
+bool OverloadGuard::Overloaded(absl::Time now) const {
+  return now < busy_until_ || ShedShare(now) > kNotReady;
+}
+
+bool OverloadGuard::MovesCallers(absl::Time now) const {
+  return LinkUse(now) > kBusyLink;
+}
+
+bool OverloadGuard::SavesTraffic(absl::Time now) const {
+  return LinkUse(now) > kBusyLink;
+}
+
 double OverloadGuard::Lag(absl::Time now) const {
   if (at_ == absl::InfinitePast()) return 0;
   return lag_ms_ * std::exp(-absl::FDivDuration(now - at_, kMemory));
@@ -29,9 +80,10 @@
 }
 
 double OverloadGuard::ShedShare(absl::Time now) const {
-  const double share =
-      (Lag(now) - kFirstLagMs) / (kWorstLagMs - kFirstLagMs) * kMostShed;
-  return std::clamp(share, 0.0, kMostShed);
+  const double by_lag = (Lag(now) - kFirstLagMs) / (kWorstLagMs - kFirstLagMs);
+  const double by_link =
+      (LinkUse(now) - kQueueingLink) / (kFullLink - kQueueingLink);
+  return std::clamp(std::max(by_lag, by_link), 0.0, 1.0) * kMostShed;
 }
 
 }  // namespace wisteriareel
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -107,10 +107,11 @@
 // one writer as a rule. What the others want and it doesn't have yet becomes
 // part of its own next order; they order themselves only where it can't help.
 // Answers this load pattern: a customer's tokens run short at many instances at
-// once, whose orders would conflict with each other and with the home's. The next life of an instance takes over the row: if it
-// can show that its predecessor ended before that time was over, the reserve is
-// its own again; otherwise all that was granted counts as used. Not
-// thread-safe; opens no connection.
+// once, whose orders would conflict with each other and with the home's. The
+// next life of an instance takes over the row: if it can show that its
+// predecessor ended before that time was over, the reserve is its own again;
+// otherwise all that was granted counts as used. Not thread-safe; opens no
+// connection.
 class PrepaidLedger {
  public:
   explicit PrepaidLedger(PrepaidLedgerOptions options);
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -19,6 +19,7 @@
 constexpr absl::Duration kGraceMargin = absl::Milliseconds(400);
 // Longest wait for the return of unspent tokens at the end.
 constexpr absl::Duration kTokenReturn = absl::Milliseconds(1200);
+constexpr double kBytesPerMbit = 1e6 / 8;
 constexpr char kMetricsPath[] = "/metrics";
 
 }  // namespace
@@ -43,6 +44,7 @@
                .life = random_->HexId()}),
       router_({}),
       targets_(SystemClock()),
+      overload_({.link_bytes_per_s = settings_.link_mbps * kBytesPerMbit}),
       loads_(platform.loads, &pool_, SystemClock()),
       services_({.io = io,
                  .clock = SystemClock(),
@@ -54,6 +56,7 @@
                  .random = random_.get(),
                  .exchange = {.pool = &pool_,
                               .repeats = &repeats_,
+                              .overload = &overload_,
                               .ledger = &ledger_,
                               .log = log,
                               .counters = &counters_},
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -100,8 +100,8 @@
   PrepaidLedger ledger_;
   RequestRouter router_;
   TargetConnections targets_;
-  LoadProbe loads_;
   OverloadGuard overload_;
+  LoadProbe loads_;
   CallerServices services_;
   ConfigWatch config_watch_;
   TargetWatch target_watch_;
--- a/src/router/router_settings.cc
+++ b/src/router/router_settings.cc
@@ -55,6 +55,7 @@
   double grace_s = absl::ToDoubleSeconds(out->shutdown_grace);
   reader->Optional("shutdown_grace_s", kSeconds, &grace_s);
   out->shutdown_grace = absl::Seconds(grace_s);
+  reader->Optional("link_mbps", Number{0, 1e6}, &out->link_mbps);
   reader->Optional("log_least", severity, &out->log_least);
   std::vector<Seed> seeds;
   reader->OptionalList("seeds", &seeds, ReadSeed);
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -54,6 +54,8 @@
   RepeatSettings repeats;
   // Time between SIGTERM and SIGKILL.
   absl::Duration shutdown_grace = absl::Seconds(8);
+  // What the instance's link carries in each direction; 0 if not known.
+  double link_mbps = 0;
   Severity log_least = Severity::kInfo;
 
   friend bool operator==(const RouterSettings&,
--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -86,6 +86,7 @@
     return;
   }
   buffer_.commit(n);
+  services_.overload->NoteTraffic(n, 0, services_.clock->Now());
   if (exchange_ == nullptr && !last_request_) Parse();
   Read();
 }
@@ -271,7 +272,10 @@
 }
 
 Framing CallerConnection::AnswerFraming(std::optional<std::size_t> length) {
-  if (services_.owner->Draining()) last_request_ = true;
+  if (services_.owner->Draining() ||
+      services_.overload->MovesCallers(services_.clock->Now())) {
+    last_request_ = true;
+  }
   return {.length = length, .close = last_request_};
 }
 
@@ -281,6 +285,8 @@
   Framing framing{.length = request_body_->size()};
   framing.no_body = request_body_->empty() &&
                     (head.method() == http::verb::get || head_only_);
+  services_.overload->NoteTraffic(0, request_body_->size(),
+                                  services_.clock->Now());
   link_ = std::make_shared<TargetLink>(services_.io, services_.targets,
                                        services_.codec,
                                        static_cast<TargetLinkObserver*>(this));
@@ -400,6 +406,8 @@
       [self = shared_from_this(), batch](error_code ec, std::size_t n) {
         if (self->closed_) return;
         self->outgoing_bytes_ -= n;
+        self->services_.overload->NoteTraffic(0, n,
+                                              self->services_.clock->Now());
         self->OnWritten(ec);
       });
 }
@@ -443,6 +451,7 @@
 }
 
 void CallerConnection::OnLinkBody(std::string_view bytes) {
+  services_.overload->NoteTraffic(bytes.size(), 0, services_.clock->Now());
   Drive([bytes](Exchange* exchange, absl::Time now) {
     exchange->OnBody(bytes, now);
   });
--- a/test/forward_overload_guard_test.cc
+++ b/test/forward_overload_guard_test.cc
@@ -43,5 +43,46 @@
   EXPECT_FALSE(guard.Overloaded(kStart + absl::Seconds(3)));
 }
 
+// 10 Mbit/s.
+constexpr OverloadGuardOptions kWeakLink{.link_bytes_per_s = 1.25e6};
+
+// Has requests of 6 kB come in and go out to targets for five seconds.
+void Load(OverloadGuard* guard, int requests_per_s) {
+  for (int n = 0; n < 5 * requests_per_s; ++n) {
+    guard->NoteTraffic(6000, 6000, kStart + absl::Seconds(n) / requests_per_s);
+  }
+}
+
+TEST(OverloadGuardTest, AWeakLinkThatFillsUpSendsItsCallersElsewhere) {
+  OverloadGuard guard(kWeakLink);
+  Load(&guard, 120);
+  const absl::Time now = kStart + absl::Seconds(5);
+  EXPECT_TRUE(guard.Overloaded(now));
+  EXPECT_TRUE(guard.MovesCallers(now));
+  EXPECT_TRUE(guard.SavesTraffic(now));
+  EXPECT_EQ(guard.ShedShare(now), 0.0);
+  Load(&guard, 240);
+  EXPECT_GT(guard.ShedShare(now), 0.3);
+}
+
+TEST(OverloadGuardTest, AfterAFullLinkTheInstanceRestsAWhile) {
+  OverloadGuard guard(kWeakLink);
+  Load(&guard, 120);
+  const absl::Time now = kStart + absl::Seconds(5);
+  EXPECT_TRUE(guard.Overloaded(now + absl::Seconds(4)));
+  EXPECT_FALSE(guard.MovesCallers(now + absl::Seconds(4)));
+  EXPECT_FALSE(guard.Overloaded(now + absl::Seconds(6)));
+}
+
+TEST(OverloadGuardTest, AStrongOrUnknownLinkCarriesTheSame) {
+  OverloadGuard strong({.link_bytes_per_s = 25e6});
+  OverloadGuard unknown;
+  Load(&strong, 120);
+  Load(&unknown, 120);
+  const absl::Time now = kStart + absl::Seconds(5);
+  EXPECT_FALSE(strong.Overloaded(now));
+  EXPECT_FALSE(unknown.Overloaded(now));
+}
+
 }  // namespace
 }  // namespace wisteriareel
--- a/test/router_watch_test.cc
+++ b/test/router_watch_test.cc
@@ -322,6 +322,7 @@
     "table": "10.200.1.7:8223",
     "seeds": [{"address": "10.1.0.40:8229" },{"address": "10.2.0.29:8229" }],
     "repeats": {"ratio": 0.2, "slack": 56, "window_s": 10},
+    "link_mbps": 10.0,
     "shutdown_grace_s": 8.5
   })",
                                             &problems);
