--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -27,6 +27,7 @@
   kBudgetOrderEnded = 1203,
   kTokensBorrowed = 1204,
   kHoldingsInherited = 1205,
+  kTokensGivenAway = 1206,
   // 1300-1399 request.
   kClaimInDoubt = 1300,
   kClaimReleasePending = 1301,
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -45,6 +45,9 @@
 constexpr int kMaxConflictDoublings = 6;
 // A pool found empty is asked again after this time.
 constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(400);
+// The platform counts as there this long after it was heard: an instance
+// asks it for the list of targets more often than that.
+constexpr absl::Duration kRecentContact = absl::Seconds(2);
 // A borrower returns what it doesn't need within this time.
 constexpr absl::Duration kBorrowerKeeps = absl::Seconds(1);
 // What is authorised lasts this much longer than the time after which the
@@ -275,6 +278,9 @@
 
 std::int64_t PrepaidLedger::PlanReturn(const Account& account,
                                        absl::Time now) const {
+  // A return in doubt can be spent by nobody: without the platform what is
+  // held stays of use here, or to another instance.
+  if (now - last_contact_ > kRecentContact) return 0;
   const std::int64_t held = account.own.granted - UsedOf(account);
   if (giving_up_) return std::max<std::int64_t>(0, held);
   if (account.wanted > 0) return 0;
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -84,6 +84,14 @@
 // How a round of questions for a loan ended.
 enum class LoanEnd : std::uint8_t { kEnough, kSoon, kPoolEmpty, kNone };
 
+// Tokens that go to another instance for good.
+struct Gift {
+  CustomerId customer;
+  Tokens amount;
+
+  friend bool operator==(const Gift&, const Gift&) = default;
+};
+
 // A transaction to be sent for a customer.
 struct LedgerOrder {
   CustomerId customer;
@@ -154,6 +162,11 @@
   // From now on everything that isn't reserved goes back.
   void GiveUp() { giving_up_ = true; }
 
+  // After GiveUp: takes out of this ledger what can't be returned because the
+  // platform is away, for instances that go on serving. A gift whose delivery
+  // is in doubt must not be delivered again.
+  std::vector<Gift> TakeGifts(absl::Time now);
+
   // Returns true if nothing is held or in doubt any more.
   bool Settled() const;
 
--- a/src/forward/prepaid_ledger_loans.cc
+++ b/src/forward/prepaid_ledger_loans.cc
@@ -68,6 +68,21 @@
   return requests;
 }
 
+std::vector<Gift> PrepaidLedger::TakeGifts(absl::Time now) {
+  std::vector<Gift> gifts;
+  if (!giving_up_ || now - last_contact_ <= options_.reserve_after) {
+    return gifts;
+  }
+  for (auto& [id, account] : accounts_) {
+    if (!account.prepaid.has_value()) continue;
+    const std::int64_t free = FreeOf(account, now);
+    if (free <= 0) continue;
+    account.lent += free;
+    gifts.push_back({.customer = id, .amount = Tokens(free)});
+  }
+  return gifts;
+}
+
 void PrepaidLedger::Borrow(const CustomerId& customer, Tokens amount) {
   accounts_[customer].lent -= amount.value();
 }
--- a/src/router/member_watch.cc
+++ b/src/router/member_watch.cc
@@ -148,6 +148,20 @@
   return others;
 }
 
+std::vector<Endpoint> MemberWatch::RankedFor(const std::string& topic) const {
+  const std::uint64_t seed = StableHash(topic);
+  std::vector<std::pair<std::uint64_t, Endpoint>> ranked;
+  for (const auto& [name, member] : members_) {
+    if (name == options_.self.value()) continue;
+    ranked.emplace_back(StableHash(name, seed), member.address);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<Endpoint> addresses;
+  addresses.reserve(ranked.size());
+  for (const auto& [rank, address] : ranked) addresses.push_back(address);
+  return addresses;
+}
+
 std::optional<Endpoint> MemberWatch::HomeOf(const std::string& topic) const {
   const std::uint64_t seed = StableHash(topic);
   std::uint64_t best = StableHash(options_.self.value(), seed);
--- a/src/router/member_watch.h
+++ b/src/router/member_watch.h
@@ -85,6 +85,9 @@
   // Returns the addresses of the other instances that were last alive.
   std::vector<Endpoint> Others() const;
 
+  // Returns those addresses, the next home of `topic` first.
+  std::vector<Endpoint> RankedFor(const std::string& topic) const;
+
   // Returns the address of the instance that `topic` belongs to by rendezvous
   // rank, or nullopt if that is this one. Instances that know the same ones
   // agree.
--- a/src/router/peer_loans.cc
+++ b/src/router/peer_loans.cc
@@ -75,10 +75,12 @@
 }
 
 void PeerLoans::AskAnyone(const std::shared_ptr<Round>& round) {
-  std::vector<Endpoint> peers = peers_->Peers();
+  std::vector<Endpoint> peers = peers_->RankedFor(round->request.customer);
   round->open = 1;
-  for (int n = 0; n < options_.fanout && !peers.empty(); ++n) {
-    const std::size_t pick = random_->Below(peers.size());
+  const int asked = options_.next_homes + options_.others;
+  for (int n = 0; n < asked && !peers.empty(); ++n) {
+    const std::size_t pick =
+        n < options_.next_homes ? 0 : random_->Below(peers.size());
     ++round->open;
     Ask(peers[pick], round);
     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(pick));
@@ -86,12 +88,60 @@
   scheduler_->After(absl::ZeroDuration(), [this, round] { Continue(round); });
 }
 
-void PeerLoans::Ask(const Endpoint& peer, const std::shared_ptr<Round>& round) {
+HttpCaller* PeerLoans::CallerOf(const Endpoint& peer) {
   if (callers_.size() >= kMaxCallers) callers_.clear();
   std::unique_ptr<HttpCaller>& caller = callers_[peer];
   if (caller == nullptr) caller = std::make_unique<HttpCaller>(io_, peer);
+  return caller.get();
+}
+
+void PeerLoans::GiveAway() {
+  const absl::Time now = scheduler_->Now();
+  for (const Gift& gift : ledger_->TakeGifts(now)) {
+    std::vector<Endpoint> peers = peers_->RankedFor(gift.customer);
+    std::erase_if(peers, [this, now](const Endpoint& peer) {
+      const auto it = silent_.find(peer);
+      return it != silent_.end() && it->second > now;
+    });
+    log_->Write(EventId::kTokensGivenAway, Severity::kInfo,
+                "tokens go to another instance",
+                {{"customer", gift.customer.value()},
+                 {"amount", absl::StrCat(gift.amount.value())},
+                 {"to", peers.empty() ? "nobody"
+                                      : absl::StrCat(peers.front().host, ":",
+                                                     peers.front().port)}});
+    if (peers.empty()) continue;
+    CallerOf(peers.front())
+        ->Start({.method = "POST",
+                 .target = absl::StrCat(kPeerGiftPath, gift.amount.value(), "/",
+                                        gift.customer.value()),
+                 .timeout = options_.timeout},
+                [this, gift](const std::optional<HttpReply>& reply) {
+                  if (reply.has_value() && reply->status == 200) return;
+                  // It may have arrived, so it isn't sent again.
+                  log_->Write(EventId::kTokensGivenAway, Severity::kWarning,
+                              "tokens may have been lost on their way",
+                              {{"customer", gift.customer.value()},
+                               {"amount", absl::StrCat(gift.amount.value())}});
+                });
+  }
+}
+
+bool PeerLoans::TakeGift(const std::string& query, PrepaidLedger* ledger) {
+  const std::vector<std::string> fields =
+      absl::StrSplit(query, absl::MaxSplits('/', 1));
+  std::int64_t amount = 0;
+  if (fields.size() != 2 || !absl::SimpleAtoi(fields[0], &amount) ||
+      amount <= 0) {
+    return false;
+  }
+  ledger->Borrow(CustomerId(fields[1]), Tokens(amount));
+  return true;
+}
+
+void PeerLoans::Ask(const Endpoint& peer, const std::shared_ptr<Round>& round) {
   const LoanRequest& request = round->request;
-  caller->Start(
+  CallerOf(peer)->Start(
       {.method = "POST",
        .target = absl::StrCat(kPeerLoanPath, request.amount.value(), "/",
                               request.from_anyone ? 0 : request.least.value(),
--- a/src/router/peer_loans.h
+++ b/src/router/peer_loans.h
@@ -19,8 +19,10 @@
 namespace wisteriareel {
 
 struct PeerLoansOptions {
-  // Instances asked for one loan.
-  int fanout = 8;
+  // Instances asked for one loan: those next in rank, to which a home that
+  // ended gave what it held, and as many at random.
+  int next_homes = 4;
+  int others = 4;
   // A loan has to come within a caller's patience for its first token.
   absl::Duration timeout = absl::Milliseconds(200);
   // An instance that didn't answer isn't asked for this long.
@@ -34,7 +36,8 @@
 
   // Returns the home of the customer's tokens, unless that is this instance.
   virtual std::optional<Endpoint> HomeOf(const CustomerId& customer) const = 0;
-  virtual std::vector<Endpoint> Peers() const = 0;
+  // Returns the other instances, the customer's next home first.
+  virtual std::vector<Endpoint> RankedFor(const CustomerId& customer) const = 0;
   // A customer's tokens may have changed.
   virtual void OnLedgerChanged(const CustomerId& customer) = 0;
 };
@@ -51,6 +54,14 @@
   // Asks for the loans that the ledger wants.
   void Poke();
 
+  // Gives what can't be returned to the platform to the instances that are
+  // the next homes.
+  void GiveAway();
+
+  // Takes another instance's gift, given what follows kPeerGiftPath. Returns
+  // false if that can't be read.
+  static bool TakeGift(const std::string& query, PrepaidLedger* ledger);
+
   // Answers another instance's question, given what follows kPeerLoanPath.
   static std::optional<std::string> AnswerLoan(const std::string& query,
                                                PrepaidLedger* ledger,
@@ -69,6 +80,7 @@
 
   void AskHome(const std::shared_ptr<Round>& round);
   void AskAnyone(const std::shared_ptr<Round>& round);
+  HttpCaller* CallerOf(const Endpoint& peer);
   void Ask(const Endpoint& peer, const std::shared_ptr<Round>& round);
   void Continue(const std::shared_ptr<Round>& round);
   void End(const Round& round);
@@ -88,6 +100,8 @@
 // Path of the question for a loan. The tokens wanted, the least that are of
 // use, and the customer follow, with slashes between.
 inline constexpr char kPeerLoanPath[] = "/peer/loan/";
+// Path of a gift. The amount and the customer follow, with a slash between.
+inline constexpr char kPeerGiftPath[] = "/peer/gift/";
 
 }  // namespace wisteriareel
 
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -161,6 +161,13 @@
     if (answer.has_value()) return {.status = 200, .body = *answer};
     return {.status = 404};
   }
+  const std::string gift_path(kPeerGiftPath);
+  if (target.starts_with(gift_path)) {
+    const bool taken =
+        !draining_ &&
+        PeerLoans::TakeGift(target.substr(gift_path.size()), &ledger_);
+    return {.status = taken ? 200 : 404};
+  }
   std::uint64_t revision = 0;
   const std::string path(kPeerConfigPath);
   if (!target.starts_with(path) ||
@@ -238,6 +245,12 @@
   peer_loans_.Poke();
 }
 
+std::vector<Endpoint> RouterDaemon::RankedFor(
+    const CustomerId& customer) const {
+  std::vector<Endpoint> ranked = member_watch_.RankedFor(customer.value());
+  return ranked.empty() ? Peers() : ranked;
+}
+
 std::vector<Endpoint> RouterDaemon::Peers() const {
   std::vector<Endpoint> peers = member_watch_.Others();
   if (peers.empty()) peers = settings_.seeds;
@@ -272,6 +285,7 @@
     if (!AnyBusy() || elapsed >= latest - kTokenReturn) {
       if (!returning_tokens_) ledger_.GiveUp();
       returning_tokens_ = true;
+      peer_loans_.GiveAway();
       ledger_runner_.Poke();
     }
     const bool quiet = !AnyBusy() && ledger_.Settled();
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -83,7 +83,9 @@
   std::optional<std::int64_t> ContactToTell() override;
 
   std::optional<Endpoint> HomeOf(const CustomerId& customer) const override;
-  std::vector<Endpoint> Peers() const override;
+  std::vector<Endpoint> RankedFor(const CustomerId& customer) const override;
+  // Returns other instances to ask for help, or the seeds if none is known.
+  std::vector<Endpoint> Peers() const;
   void OnLedgerChanged(const CustomerId& customer) override;
 
   const RouterSettings settings_;
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -154,6 +154,16 @@
     if (!lost) to->ledger->Borrow(kCustomer, amount);
   }
 
+  // The instance ends and gives what it can't return to another one.
+  void GiveAway(Instance* from, Instance* to, bool lost) {
+    from->ledger->GiveUp();
+    for (const Gift& gift : from->ledger->TakeGifts(now_)) {
+      if (!lost && to != from) {
+        to->ledger->Borrow(gift.customer, gift.amount);
+      }
+    }
+  }
+
   void ApplyLate() {
     if (late_.empty()) return;
     table_.Commit(late_.front());
@@ -189,7 +199,7 @@
   const int steps = *rc::gen::inRange(20, 400);
   for (int n = 0; n < steps; ++n) {
     Instance& instance = fleet.at(*rc::gen::inRange(0, 100));
-    switch (*rc::gen::inRange(0, 12)) {
+    switch (*rc::gen::inRange(0, 13)) {
       case 0:
       case 1:
       case 2:
@@ -223,6 +233,11 @@
       case 11:
         fleet.Advance(absl::Milliseconds(*rc::gen::inRange(0, 4000)));
         break;
+      case 12:
+        fleet.GiveAway(&instance, &fleet.at(*rc::gen::inRange(0, 100)),
+                       *rc::gen::inRange(0, 4) == 0);
+        if (*rc::gen::inRange(0, 2) == 0) fleet.Restart(&instance);
+        break;
       default:
         break;
     }
@@ -398,6 +413,30 @@
             ReserveResult::kReserved);
 }
 
+// Seen on a played day: instances that were restarted in turn while the
+// platform was away stranded what they held.
+TEST_F(PrepaidLedgerScript, AnInstanceThatEndsWithoutThePlatformGivesAway) {
+  const auto ending = Make("1", InheritedUse::kAll);
+  Serve(ending.get());
+  const Tokens held = ending->ViewOf(kCustomer).held_here;
+  ASSERT_GT(held, Tokens(0));
+  ending->GiveUp();
+  EXPECT_TRUE(ending->TakeGifts(now_).empty());
+  now_ += absl::Seconds(4);
+  EXPECT_TRUE(ending->TakeOrders(now_).empty());
+  EXPECT_EQ(ending->TakeGifts(now_),
+            (std::vector<Gift>{{.customer = kCustomer, .amount = held}}));
+  EXPECT_TRUE(ending->TakeGifts(now_).empty());
+
+  PrepaidLedger heir({.instance = "j", .life = "1"});
+  heir.SetBudgets(Budget(100000), now_ - absl::Minutes(1));
+  heir.SetHomes([](const CustomerId&) { return false; });
+  heir.Borrow(kCustomer, held);
+  // It isn't put in doubt by a return that nobody answers.
+  EXPECT_TRUE(heir.TakeOrders(now_).empty());
+  EXPECT_EQ(heir.Reserve(kCustomer, held, now_), ReserveResult::kReserved);
+}
+
 TEST_F(PrepaidLedgerScript, ALoanMovesTokensWithoutThePlatform) {
   const auto lender = Make("1", InheritedUse::kAll);
   Serve(lender.get());
