Begin no request shortly before the instance ends

It also ended late: a borrower with a request that had waited for a loan ordered nothing any more, not even the return of its tokens, and 6 of 8 instances ended when their grace was over. Change: from 3.5 s after the signal on, when the balancer has had its time, new requests get 503 'draining' (not run, true) and their connection is closed. What waits for a loan is no part of an order to the platform. Both tests fail without their change.

--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -177,6 +177,10 @@
   return ReserveLater(&account, now);
 }
 
+std::int64_t PrepaidLedger::WantedFromPool(const Account& account) {
+  return account.home || account.order_allowed ? account.wanted : 0;
+}
+
 bool PrepaidLedger::CanOrder(const Account& account, absl::Time now) {
   return !account.platform_away &&
          (!account.pool_empty || account.next_order <= now);
@@ -267,8 +271,9 @@
   if (static_cast<double>(held) < kRefillShare * static_cast<double>(target)) {
     grant = target - held;
   }
-  if (account.wanted > held) {
-    grant = std::max(grant, account.wanted - held + target / 2);
+  const std::int64_t wanted = WantedFromPool(account);
+  if (wanted > held) {
+    grant = std::max(grant, wanted - held + target / 2);
   }
   grant = std::min(grant, available);
   // Part of what a request needs is of no use here.
@@ -283,7 +288,7 @@
   if (now - last_contact_ > kRecentContact) return 0;
   const std::int64_t held = account.own.granted - UsedOf(account);
   if (giving_up_) return std::max<std::int64_t>(0, held);
-  if (account.wanted > 0) return 0;
+  if (WantedFromPool(account) > 0) return 0;
   const std::int64_t target =
       account.home
           ? TargetOf(account, now)
@@ -311,16 +316,17 @@
   order.own = {.granted = account.own.granted + grant - give_back,
                .settled = account.settled};
   const std::int64_t ahead = AheadOf(account, now);
-  order.own.authorised = std::max(
-      used, std::min(order.own.granted, used + account.wanted + ahead));
+  const std::int64_t wanted = WantedFromPool(account);
+  order.own.authorised =
+      std::max(used, std::min(order.own.granted, used + wanted + ahead));
   const std::int64_t authorised_free = account.own.authorised - used;
   const bool authorise =
       authorised_free < 0 ||
       (order.own.authorised > account.own.authorised &&
-       (account.wanted > authorised_free || authorised_free < ahead / 2));
+       (wanted > authorised_free || authorised_free < ahead / 2));
   // A pool that seems too small for a waiting request is looked at again: an
   // order that changes nothing conflicts if the pool has changed.
-  const bool look_again = account.wanted > account.own.granted - used;
+  const bool look_again = wanted > account.own.granted - used;
   if (grant == 0 && give_back == 0 && !report_due && !authorise &&
       !look_again) {
     return std::nullopt;
@@ -344,9 +350,8 @@
   for (auto& [id, account] : accounts_) {
     if (!account.prepaid.has_value() || account.in_flight) continue;
     // A request that waits doesn't wait for the spreading of first orders.
-    const bool urgent = account.wanted > 0 && !account.pool_known;
+    const bool urgent = WantedFromPool(account) > 0 && !account.pool_known;
     if (account.next_order > now && !urgent) continue;
-    if (!account.home && account.wanted > 0 && !account.order_allowed) continue;
     if (!account.order.has_value()) account.order = Plan(id, account, now);
     if (!account.order.has_value()) continue;
     account.in_flight = true;
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -279,6 +279,9 @@
   std::int64_t PlanGrant(const Account& account, absl::Time now) const;
   ReserveResult ReserveLater(Account* account, absl::Time now);
   static bool CanOrder(const Account& account, absl::Time now);
+  // Returns what requests wait for that is to come from the platform, not
+  // from another instance.
+  static std::int64_t WantedFromPool(const Account& account);
   std::int64_t PlanReturn(const Account& account, absl::Time now) const;
   // Returns a number in [0, 1) that differs from call to call and from
   // instance to instance, so that instances don't act at the same moment.
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -279,6 +279,7 @@
   const absl::Duration elapsed = scheduler_.Now() - draining_since_;
   const absl::Duration latest = settings_.shutdown_grace - kGraceMargin;
   if (elapsed >= kBalancerNotice) {
+    closing_ = true;
     const std::vector<std::shared_ptr<CallerConnection>> connections(
         connections_.begin(), connections_.end());
     for (const auto& connection : connections) connection->CloseIfIdle();
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -76,6 +76,7 @@
 
   void OnConnectionClosed(CallerConnection* connection) override;
   bool Draining() const override { return draining_; }
+  bool TakesRequests() const override { return !closing_; }
   void OnWaitingForTokens() override;
 
   void OnInstancesCounted(int count) override;
@@ -117,6 +118,8 @@
   boost::asio::signal_set signals_;
   std::set<std::shared_ptr<CallerConnection>> connections_;
   bool draining_ = false;
+  // The balancer has had its time: no request is begun any more.
+  bool closing_ = false;
   bool returning_tokens_ = false;
   absl::Time draining_since_;
 };
--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -192,22 +192,27 @@
 }
 
 bool CallerConnection::Shed(absl::Time now) {
+  if (!services_.owner->TakesRequests()) {
+    SendElsewhere(Reason::kDraining, "instance is about to end");
+    return true;
+  }
   if (services_.random->Fraction() >= services_.overload->ShedShare(now)) {
     return false;
   }
-  // The next connection goes to another instance, which has room.
+  SendElsewhere(Reason::kShedOverload, "instance is overloaded");
+  return true;
+}
+
+void CallerConnection::SendElsewhere(Reason reason, std::string_view text) {
+  // The next connection goes to another instance.
   last_request_ = true;
-  services_.exchange.counters->Refused(Reason::kShedOverload);
-  services_.exchange.log->Write(EventId::kRequestRefused, Severity::kInfo,
-                                "instance is overloaded",
+  services_.exchange.counters->Refused(reason);
+  services_.exchange.log->Write(EventId::kRequestRefused, Severity::kInfo, text,
                                 {{"request", request_id_.value()},
                                  {"status", "503"},
-                                 {"reason", "shed_overload"}});
-  Refuse({.status = 503,
-          .reason = Reason::kShedOverload,
-          .retry_after = kShedRetryAfter});
+                                 {"reason", std::string(ReasonName(reason))}});
+  Refuse({.status = 503, .reason = reason, .retry_after = kShedRetryAfter});
   EndRequest();
-  return true;
 }
 
 // The exchange has ended: the connection waits for the next request.
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -36,6 +36,8 @@
   virtual void OnConnectionClosed(CallerConnection* connection) = 0;
   // Returns true if the instance shuts down: answers close their connection.
   virtual bool Draining() const = 0;
+  // Returns false shortly before the instance ends: no request is begun.
+  virtual bool TakesRequests() const = 0;
   // A request waits for tokens that the platform has to grant.
   virtual void OnWaitingForTokens() = 0;
 };
@@ -95,6 +97,7 @@
   void HandleRequest();
   // Returns true if the request was sent elsewhere.
   bool Shed(absl::Time now);
+  void SendElsewhere(Reason reason, std::string_view text);
   void EndRequest();
   void Enqueue(std::string bytes);
   void WriteNext();
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -388,6 +388,22 @@
   EXPECT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
 }
 
+TEST_F(PrepaidLedgerScript, ABorrowerThatEndsReturnsAllWhateverWasWaitedFor) {
+  PrepaidLedger borrower({.instance = "j", .life = "1"});
+  borrower.SetBudgets(Budget(100000), now_ - absl::Minutes(1));
+  borrower.SetHomes([](const CustomerId&) { return false; });
+  borrower.Borrow(kCustomer, Tokens(300));
+  borrower.Reserve(kCustomer, Tokens(500), now_);
+  borrower.TakeLoanRequests(now_);
+  borrower.CompleteLoan(kCustomer, LoanEnd::kSoon, now_);
+  borrower.Reserve(kCustomer, Tokens(500), now_);
+  borrower.NoteContact(now_);
+  borrower.GiveUp();
+  Serve(&borrower);
+  Serve(&borrower);
+  EXPECT_TRUE(borrower.Settled());
+}
+
 TEST_F(PrepaidLedgerScript, ABorrowerIsRefusedAtOnceWhereThePoolIsEmpty) {
   PrepaidLedger borrower({.instance = "j", .life = "1"});
   borrower.SetBudgets(Budget(100000), now_ - absl::Minutes(1));
--- a/test/router_daemon_test.cc
+++ b/test/router_daemon_test.cc
@@ -342,6 +342,38 @@
   while (!target_saw_end) std::this_thread::yield();
 }
 
+// Seen on a played day: a request that came in the moment before the process
+// ended was cut.
+TEST_F(RouterDaemonTest, AnInstanceThatIsAboutToEndBeginsNoRequest) {
+  std::atomic<bool> reached = false;
+  std::atomic<bool> answer = false;
+  ScriptedTarget target([&](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    reached = true;
+    while (!answer) std::this_thread::yield();
+    ScriptedTarget::Write(fd, WholeAnswer("q1", "done"));
+  });
+  Start(target.port(), RouteKind::kNonIdempotent);
+  RawConnection caller(settings_.listen.callers.port);
+  caller.Send(Request("q1"));
+  while (!reached) std::this_thread::yield();
+  kill(getpid(), SIGTERM);
+  // No route leads there: it is answered at once as long as requests are taken.
+  std::string late;
+  while (!absl::StartsWith(late, "HTTP/1.1 503")) {
+    RawConnection other(settings_.listen.callers.port);
+    other.Send(
+        "GET /elsewhere HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key\r\n"
+        "Wisteriareel-Request-Id: q2\r\nConnection: close\r\n\r\n");
+    late = other.ReadAll();
+  }
+  EXPECT_THAT(late, HasSubstr("draining"));
+  EXPECT_THAT(late, HasSubstr("not_run"));
+  answer = true;
+  EXPECT_THAT(caller.ReadAll(), HasSubstr("done"));
+  thread_.join();
+}
+
 TEST_F(RouterDaemonTest, ATerminatedInstanceFinishesWhatItHasTaken) {
   std::atomic<bool> reached = false;
   std::atomic<bool> answer = false;
