Expect a shared part only at its home

Change: only the home, and targets that this instance sent it to, are expected to have it. The test with a short queue fails without it.

--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -14,9 +14,6 @@
 constexpr double kPrefillTokensPerMs = 50;
 // A request beyond its prompt slows the others at its engine by about this.
 constexpr double kRunningMs = 4;
-// Share of a shared part's tokens that is expected to be read again at the
-// first, the second and any other target of its rank.
-constexpr double kRereadShare[] = {0.0, 0.5, 1.0};
 // Other instances send to the same targets: work seen here stands for more.
 constexpr double kUnseenWork = 1.2;
 // Targets that are asked for their load before a request is placed: the home
@@ -135,7 +132,8 @@
 
 double TargetPool::PrefillMs(const State& state, const PlacementNeed& need,
                              int rank, absl::Time now) const {
-  double reread = kRereadShare[std::min(rank, 2)];
+  // The home has the shared part, others only if they were sent it.
+  double reread = rank == 0 ? 0 : 1;
   const auto it = state.sent_parts.find(need.shared_key);
   if (it != state.sent_parts.end() && now - it->second < kPartMemory) {
     reread = 0;
--- a/test/forward_target_pool_test.cc
+++ b/test/forward_target_pool_test.cc
@@ -122,6 +122,18 @@
   EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[1].id);
 }
 
+TEST(TargetPoolTest, AShortQueueAtItsHomeIsNoReasonToReadAPartAgain) {
+  TargetPool pool({.zone = ZoneId("a")});
+  pool.ApplyListing(Targets(12), kStart);
+  const PlacementNeed need = SharedNeed("part");
+  const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
+  // Three prompts wait there for less than twice the time that the part takes.
+  pool.NoteLoad(asked[0].id,
+                TargetLoad{.queued = 3, .cache_total = Tokens(400000)}, kStart);
+  pool.NoteLoad(asked[1].id, TargetLoad{.cache_total = Tokens(400000)}, kStart);
+  EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[0].id);
+}
+
 TEST(TargetPoolTest, AHomeWithoutMemoryForTheRequestIsPassedOver) {
   TargetPool pool({.zone = ZoneId("a")});
   pool.ApplyListing(Targets(12), kStart);
