Promise no loans while ending

Cause: found in reading: a home that is ending orders nothing any more, but told borrowers that it will have more soon; they waited until their time was over. Ruled out: the orders of borrowers themselves, which go on without a home. Change: it lends what is free and promises nothing. The test fails without it.

--- a/src/forward/prepaid_ledger_loans.cc
+++ b/src/forward/prepaid_ledger_loans.cc
@@ -36,7 +36,7 @@
     account.lent += amount;
     return {.amount = Tokens(amount)};
   }
-  if (!account.home) return {};
+  if (!account.home || giving_up_) return {};
   if (!CanOrder(account, now)) {
     return {.outlook = account.pool_empty && !account.platform_away
                            ? LoanOutlook::kPoolEmpty
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -357,6 +357,14 @@
   EXPECT_EQ(home->Lend(kCustomer, wanted, wanted, now_).amount, wanted);
 }
 
+TEST_F(PrepaidLedgerScript, AHomeThatEndsPromisesNothing) {
+  const auto home = Make("1", InheritedUse::kAll);
+  Serve(home.get());
+  home->GiveUp();
+  const Tokens wanted(70000);
+  EXPECT_EQ(home->Lend(kCustomer, wanted, wanted, now_), Loan{});
+}
+
 TEST_F(PrepaidLedgerScript, AHomeSaysThatThePoolIsEmpty) {
   const auto home = Make("1", InheritedUse::kAll);
   Serve(home.get());
