--- a/test/forward_target_pool_test.cc
+++ b/test/forward_target_pool_test.cc
@@ -162,16 +162,17 @@
 // Many instances, each of which sees few of the requests, and one subject that
 // gets a large part of the traffic. Reports lag behind.
 TEST(TargetPoolTest, ManyInstancesDoNotMeetAtOneHome) {
-  constexpr int kInstances = 40;
-  constexpr int kTargets = 20;
-  constexpr int kRequests = 400;
-  constexpr absl::Duration kLag = absl::Milliseconds(100);
-  constexpr absl::Duration kBetween = absl::Milliseconds(10);
-  constexpr absl::Duration kReading = absl::Milliseconds(60);
+  constexpr int instances = 40;
+  constexpr int targets = 20;
+  constexpr int requests = 400;
+  constexpr absl::Duration lag = absl::Milliseconds(100);
+  constexpr absl::Duration between = absl::Milliseconds(10);
+  constexpr absl::Duration reading_time = absl::Milliseconds(60);
   std::vector<TargetPool> pools;
-  for (int n = 0; n < kInstances; ++n) {
+  pools.reserve(instances);
+  for (int n = 0; n < instances; ++n) {
     pools.emplace_back(TargetPoolOptions{.zone = ZoneId("a")});
-    pools.back().ApplyListing(Targets(kTargets), kStart);
+    pools.back().ApplyListing(Targets(targets), kStart);
   }
   struct Reading {
     absl::Time arrived;
@@ -179,16 +180,16 @@
   };
   std::map<TargetId, std::vector<Reading>> readings;
   absl::Duration longest;
-  for (int n = 0; n < kRequests; ++n) {
-    const absl::Time now = kStart + n * kBetween;
-    TargetPool& pool = pools[static_cast<std::size_t>(n * 7 % kInstances)];
+  for (int n = 0; n < requests; ++n) {
+    const absl::Time now = kStart + n * between;
+    TargetPool& pool = pools[static_cast<std::size_t>(n * 7 % instances)];
     const PlacementNeed need =
         SharedNeed(n % 2 == 0 ? "hot" : absl::StrCat("part", n % 30));
     for (const TargetEntry& target : pool.ToAsk(need, now)) {
       const std::vector<Reading>& all = readings[target.id];
       const auto open =
           std::count_if(all.begin(), all.end(), [&](const Reading& reading) {
-            return reading.arrived <= now - kLag && reading.end > now - kLag;
+            return reading.arrived <= now - lag && reading.end > now - lag;
           });
       pool.NoteLoad(target.id,
                     TargetLoad{.queued = static_cast<int>(open),
@@ -199,7 +200,7 @@
     ASSERT_TRUE(placement.has_value());
     std::vector<Reading>& all = readings[placement->target.id];
     const absl::Time begin = all.empty() ? now : std::max(now, all.back().end);
-    all.push_back({.arrived = now, .end = begin + kReading});
+    all.push_back({.arrived = now, .end = begin + reading_time});
     longest = std::max(longest, all.back().end - now);
   }
   // The callers' objective for the first event.
--- a/test/router_watch_test.cc
+++ b/test/router_watch_test.cc
@@ -278,6 +278,7 @@
   const auto second = Join(1, &owners[1]);
   scheduler_.Advance(absl::Seconds(12));
   std::vector<std::optional<Endpoint>> homes;
+  homes.reserve(20);
   for (int topic = 0; topic < 20; ++topic) {
     homes.push_back(first->HomeOf(absl::StrCat("c", topic)));
   }
