Rank targets once and without sorting them all

Cause: found in reading: each placement sorted all targets twice, with two hashes for each comparison, though only the home and the second in rank differ from the others. Two questions to the overload guard were the same one. Ruled out: keeping ranks between requests (they differ from part to part). Change: each target's rank is computed once a pass; the home is the highest, the two to be asked are found by a partial sort; equal costs go by rank as before. No change of behaviour is meant.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -109,11 +109,11 @@
 }
 
 void Exchange::Dispatch(absl::Time now) {
-  const bool saves_traffic =
-      services_.overload != nullptr && services_.overload->SavesTraffic(now);
+  const bool link_is_busy =
+      services_.overload != nullptr && services_.overload->LinkIsBusy(now);
   const std::vector<TargetEntry> asked =
-      saves_traffic ? std::vector<TargetEntry>()
-                    : services_.pool->ToAsk(Need(), now);
+      link_is_busy ? std::vector<TargetEntry>()
+                   : services_.pool->ToAsk(Need(), now);
   if (asked.empty()) {
     Send(now);
     return;
--- a/src/forward/overload_guard.cc
+++ b/src/forward/overload_guard.cc
@@ -48,7 +48,7 @@
   if (options_.link_bytes_per_s <= 0) return;
   received_.Add(received, now);
   sent_.Add(sent, now);
-  if (LinkUse(now) > kBusyLink) busy_until_ = now + kRest;
+  if (LinkIsBusy(now)) busy_until_ = now + kRest;
 }
 
 double OverloadGuard::LinkUse(absl::Time now) const {
@@ -60,11 +60,7 @@
   return now < busy_until_ || ShedShare(now) > kNotReady;
 }
 
-bool OverloadGuard::MovesCallers(absl::Time now) const {
-  return LinkUse(now) > kBusyLink;
-}
-
-bool OverloadGuard::SavesTraffic(absl::Time now) const {
+bool OverloadGuard::LinkIsBusy(absl::Time now) const {
   return LinkUse(now) > kBusyLink;
 }
 
--- a/src/forward/overload_guard.h
+++ b/src/forward/overload_guard.h
@@ -36,11 +36,10 @@
   // Returns true while the instance should get no new connections.
   bool Overloaded(absl::Time now) const;
 
-  // Returns true while callers should connect anew, to another instance.
-  bool MovesCallers(absl::Time now) const;
-
-  // Returns true while traffic that only improves a choice isn't worth it.
-  bool SavesTraffic(absl::Time now) const;
+  // Returns true while the link has little room: callers should connect anew,
+  // to another instance, and traffic that only improves a choice isn't worth
+  // it.
+  bool LinkIsBusy(absl::Time now) const;
 
  private:
   // A part of the requests is always taken: they tell when it is over.
--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -18,7 +18,7 @@
 constexpr double kUnseenWork = 1.2;
 // Targets that are asked for their load before a request is placed: the home
 // of its shared part, and the one that reads it least often otherwise.
-constexpr std::size_t kAskedTargets = 2;
+constexpr std::ptrdiff_t kAskedTargets = 2;
 // A report is used again for this long, about its own lag.
 constexpr absl::Duration kReportFresh = absl::Milliseconds(120);
 // A report that is older says nothing any more.
@@ -111,10 +111,12 @@
          (!state.missing || now < grace_until_);
 }
 
-std::vector<TargetPool::State*> TargetPool::Candidates(
+std::vector<TargetPool::Candidate> TargetPool::Candidates(
     const PlacementNeed& need, absl::Time now) {
-  std::vector<State*> usable;
-  std::vector<State*> ejected;
+  const bool ranks = !need.shared_key.empty();
+  const std::uint64_t seed = ranks ? StableHash(need.shared_key) : 0;
+  std::vector<Candidate> usable;
+  std::vector<Candidate> ejected;
   for (auto& [id, state] : targets_) {
     if (!Usable(state, need.service, now)) continue;
     if (std::find(need.tried.begin(), need.tried.end(), id) !=
@@ -124,16 +126,18 @@
     // One request at a time tells whether an ejected target is back.
     const bool out =
         state.ejected_until > now || (state.on_trial && state.in_flight > 0);
-    (out ? ejected : usable).push_back(&state);
+    (out ? ejected : usable)
+        .push_back({.state = &state,
+                    .rank = ranks ? StableHash(id.value(), seed) : 0});
   }
   // Ejection never takes the last target.
   return usable.empty() ? ejected : usable;
 }
 
 double TargetPool::PrefillMs(const State& state, const PlacementNeed& need,
-                             int rank, absl::Time now) const {
+                             bool is_home, absl::Time now) const {
   // The home has the shared part, others only if they were sent it.
-  double reread = rank == 0 ? 0 : 1;
+  double reread = is_home ? 0 : 1;
   const auto it = state.sent_parts.find(need.shared_key);
   if (it != state.sent_parts.end() && now - it->second < kPartMemory) {
     reread = 0;
@@ -144,8 +148,8 @@
   return tokens / kPrefillTokensPerMs;
 }
 
-double TargetPool::Cost(const State& state, const PlacementNeed& need, int rank,
-                        absl::Time now) const {
+double TargetPool::Cost(const State& state, const PlacementNeed& need,
+                        double prefill_ms, absl::Time now) const {
   double cost = Decayed(state.delay_ms, now - state.delay_at, kDelayMemory);
   if (state.entry.zone != options_.zone) cost += kOtherZoneMs;
   cost += absl::ToDoubleMilliseconds(state.entry.warm_up) * 0.1;
@@ -153,7 +157,7 @@
     const double slots = std::max(1, state.entry.slots);
     return cost + 100.0 * kUnseenWork * state.in_flight / slots;
   }
-  return cost + PrefillMs(state, need, rank, now) + WorkMs(state, need, now);
+  return cost + prefill_ms + WorkMs(state, need, now);
 }
 
 double TargetPool::ReportedMs(const TargetLoad& load) const {
@@ -183,11 +187,17 @@
                                            absl::Time now) {
   std::vector<TargetEntry> asked;
   if (!need.engine) return asked;
-  const std::vector<State*> ranked = Ranked(need, now);
-  if (ranked.size() < 2) return asked;
-  for (std::size_t n = 0; n < std::min(kAskedTargets, ranked.size()); ++n) {
-    if (now - ranked[n]->asked_at < kReportFresh) continue;
-    asked.push_back(ranked[n]->entry);
+  std::vector<Candidate> candidates = Candidates(need, now);
+  if (candidates.size() < 2) return asked;
+  const auto end =
+      candidates.begin() +
+      std::min<std::ptrdiff_t>(kAskedTargets, std::ssize(candidates));
+  std::partial_sort(
+      candidates.begin(), end, candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
+  for (auto it = candidates.begin(); it != end; ++it) {
+    if (now - it->state->asked_at < kReportFresh) continue;
+    asked.push_back(it->state->entry);
   }
   return asked;
 }
@@ -203,34 +213,31 @@
   Average(ReportedMs(*load), &mean_reported_ms_);
 }
 
-std::vector<TargetPool::State*> TargetPool::Ranked(const PlacementNeed& need,
-                                                   absl::Time now) {
-  std::vector<State*> candidates = Candidates(need, now);
-  if (need.shared_key.empty()) return candidates;
-  const std::uint64_t seed = StableHash(need.shared_key);
-  std::sort(candidates.begin(), candidates.end(),
-            [seed](const State* a, const State* b) {
-              return StableHash(a->entry.id.value(), seed) >
-                     StableHash(b->entry.id.value(), seed);
-            });
-  return candidates;
-}
-
 std::optional<Placement> TargetPool::Choose(const PlacementNeed& need,
                                             absl::Time now) {
-  const std::vector<State*> candidates = Ranked(need, now);
-  if (candidates.empty()) return std::nullopt;
-  State* best = candidates.front();
-  double best_cost = Cost(*best, need, 0, now);
-  double best_prefill = PrefillMs(*best, need, 0, now);
-  for (std::size_t n = 1; n < candidates.size(); ++n) {
-    const int rank = need.shared_key.empty() ? 0 : static_cast<int>(n);
-    const double cost = Cost(*candidates[n], need, rank, now);
-    if (cost >= best_cost) continue;
-    best = candidates[n];
+  const std::vector<Candidate> candidates = Candidates(need, now);
+  std::uint64_t home_rank = 0;
+  for (const Candidate& it : candidates) {
+    home_rank = std::max(home_rank, it.rank);
+  }
+  State* best = nullptr;
+  std::uint64_t best_rank = 0;
+  double best_cost = 0;
+  double best_prefill = 0;
+  for (const Candidate& it : candidates) {
+    const double prefill =
+        PrefillMs(*it.state, need, it.rank == home_rank, now);
+    const double cost = Cost(*it.state, need, prefill, now);
+    // Equal targets are taken by rank, so that not all parts go to the same.
+    const bool better = best == nullptr || cost < best_cost ||
+                        (cost == best_cost && it.rank > best_rank);
+    if (!better) continue;
+    best = it.state;
+    best_rank = it.rank;
     best_cost = cost;
-    best_prefill = PrefillMs(*best, need, rank, now);
+    best_prefill = prefill;
   }
+  if (best == nullptr) return std::nullopt;
   ++best->in_flight;
   if (need.engine) {
     best->pending_prefill_ms += best_prefill;
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -153,19 +153,25 @@
     absl::flat_hash_map<std::string, absl::Time> sent_parts;
   };
 
-  double Cost(const State& state, const PlacementNeed& need, int rank,
+  // A target that can take a request, and its rendezvous rank among those of
+  // the request's shared part. The highest one is the part's home.
+  struct Candidate {
+    State* state = nullptr;
+    std::uint64_t rank = 0;
+  };
+
+  // `prefill_ms` is the expected time of reading the prompt there.
+  double Cost(const State& state, const PlacementNeed& need, double prefill_ms,
               absl::Time now) const;
   // Expected waiting for the work that a target has, in milliseconds.
   double WorkMs(const State& state, const PlacementNeed& need,
                 absl::Time now) const;
   double ReportedMs(const TargetLoad& load) const;
-  double PrefillMs(const State& state, const PlacementNeed& need, int rank,
+  double PrefillMs(const State& state, const PlacementNeed& need, bool is_home,
                    absl::Time now) const;
   bool Usable(const State& state, const ServiceId& service,
               absl::Time now) const;
-  std::vector<State*> Candidates(const PlacementNeed& need, absl::Time now);
-  // Like Candidates, the home of the request's shared part first.
-  std::vector<State*> Ranked(const PlacementNeed& need, absl::Time now);
+  std::vector<Candidate> Candidates(const PlacementNeed& need, absl::Time now);
   void RememberPart(State* state, const PlacementNeed& need, absl::Time now);
   std::optional<TargetChange> Eject(State* state, absl::Time now);
   double MeanFailure(const ServiceId& service) const;
--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -278,7 +278,7 @@
 
 Framing CallerConnection::AnswerFraming(std::optional<std::size_t> length) {
   if (services_.owner->Draining() ||
-      services_.overload->MovesCallers(services_.clock->Now())) {
+      services_.overload->LinkIsBusy(services_.clock->Now())) {
     last_request_ = true;
   }
   return {.length = length, .close = last_request_};
--- a/test/forward_overload_guard_test.cc
+++ b/test/forward_overload_guard_test.cc
@@ -58,8 +58,7 @@
   Load(&guard, 120);
   const absl::Time now = kStart + absl::Seconds(5);
   EXPECT_TRUE(guard.Overloaded(now));
-  EXPECT_TRUE(guard.MovesCallers(now));
-  EXPECT_TRUE(guard.SavesTraffic(now));
+  EXPECT_TRUE(guard.LinkIsBusy(now));
   EXPECT_EQ(guard.ShedShare(now), 0.0);
   Load(&guard, 240);
   EXPECT_GT(guard.ShedShare(now), 0.3);
@@ -70,7 +69,7 @@
   Load(&guard, 120);
   const absl::Time now = kStart + absl::Seconds(5);
   EXPECT_TRUE(guard.Overloaded(now + absl::Seconds(4)));
-  EXPECT_FALSE(guard.MovesCallers(now + absl::Seconds(4)));
+  EXPECT_FALSE(guard.LinkIsBusy(now + absl::Seconds(4)));
   EXPECT_FALSE(guard.Overloaded(now + absl::Seconds(6)));
 }
 
