Tell the end of a loan in one type

Cause: found in reading: LoanEnd repeated LoanOutlook with one value more, and each account kept a time that nothing read. Ruled out: keeping both for the wire (the words there come from LoanOutlook). Change: a round ends with a shortage, or none; the unread time and the argument that fed it are gone. No change of behaviour is meant.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -441,7 +441,7 @@
   phase_ = Phase::kDone;
   if (reserved_) {
     services_.ledger->Settle(request_.customer, request_.facts.MostTokens(),
-                             Used(), now);
+                             Used());
     services_.counters->Add(Counter::kTokensBilled,
                             static_cast<std::uint64_t>(Used().value()));
   }
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -194,8 +194,8 @@
     account->loan_wanted = true;
     return ReserveResult::kWait;
   }
-  if (account->loan_end == LoanEnd::kSoon) return ReserveResult::kWait;
-  if (account->loan_end == LoanEnd::kPoolEmpty) {
+  if (account->shortage == LoanOutlook::kSoon) return ReserveResult::kWait;
+  if (account->shortage == LoanOutlook::kPoolEmpty) {
     return ReserveResult::kHeldElsewhere;
   }
   if (can_order) {
@@ -206,15 +206,14 @@
                                 : ReserveResult::kHeldElsewhere;
 }
 
-void PrepaidLedger::Settle(const CustomerId& customer, Tokens most, Tokens used,
-                           absl::Time now) {
+void PrepaidLedger::Settle(const CustomerId& customer, Tokens most,
+                           Tokens used) {
   Account& account = accounts_[customer];
   // A customer that became limited meanwhile reserved nothing.
   const std::int64_t reserved = std::min(account.reserved, most.value());
   if (reserved == 0) return;
   account.reserved -= reserved;
   account.settled += std::min(used.value(), reserved);
-  account.changed_at = now;
 }
 
 double PrepaidLedger::RateOf(const Account& account, absl::Time now) const {
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -81,9 +81,6 @@
   friend bool operator==(const Loan&, const Loan&) = default;
 };
 
-// How a round of questions for a loan ended.
-enum class LoanEnd : std::uint8_t { kEnough, kSoon, kPoolEmpty, kNone };
-
 // Tokens that go to another instance for good.
 struct Gift {
   CustomerId customer;
@@ -149,8 +146,7 @@
                         absl::Time now);
 
   // Ends a reservation of `most`, of which `used` were consumed.
-  void Settle(const CustomerId& customer, Tokens most, Tokens used,
-              absl::Time now);
+  void Settle(const CustomerId& customer, Tokens most, Tokens used);
 
   // Returns the orders that are due. Each must be answered by Complete.
   std::vector<LedgerOrder> TakeOrders(absl::Time now);
@@ -198,10 +194,12 @@
   // Adds tokens lent by another instance.
   void Borrow(const CustomerId& customer, Tokens amount);
 
-  // All instances that were asked have answered, or were waited for. Returns
-  // when others may be asked again, if they may have more then.
-  std::optional<absl::Duration> CompleteLoan(const CustomerId& customer,
-                                             LoanEnd end, absl::Time now);
+  // All instances that were asked have answered, or were waited for.
+  // `shortage` is unset if enough was lent. Returns when others may be asked
+  // again, if they will have more then.
+  std::optional<absl::Duration> CompleteLoan(
+      const CustomerId& customer, std::optional<LoanOutlook> shortage,
+      absl::Time now);
 
  private:
   struct Pool {
@@ -258,11 +256,10 @@
     bool order_allowed = false;
     bool loan_wanted = false;
     bool loan_in_flight = false;
-    // How the last round of questions ended.
-    LoanEnd loan_end = LoanEnd::kNone;
+    // What the last round of questions left to expect; unset after a loan.
+    std::optional<LoanOutlook> shortage;
     // The last loans didn't suffice; no others are asked for until then.
     absl::Time next_loan = absl::InfinitePast();
-    absl::Time changed_at = absl::InfinitePast();
   };
 
   static std::int64_t UsedOf(const Account& account);
--- a/src/forward/prepaid_ledger_loans.cc
+++ b/src/forward/prepaid_ledger_loans.cc
@@ -63,7 +63,7 @@
          .amount = Tokens(account.wanted + ahead - free),
          .least = Tokens(account.least_wanted - free),
          .from_anyone = account.platform_away || account.pool_empty ||
-                        account.loan_end == LoanEnd::kPoolEmpty});
+                        account.shortage == LoanOutlook::kPoolEmpty});
   }
   return requests;
 }
@@ -88,27 +88,24 @@
 }
 
 std::optional<absl::Duration> PrepaidLedger::CompleteLoan(
-    const CustomerId& customer, LoanEnd end, absl::Time now) {
+    const CustomerId& customer, std::optional<LoanOutlook> shortage,
+    absl::Time now) {
   Account& account = accounts_[customer];
   account.loan_in_flight = false;
-  account.loan_end = end;
+  account.shortage = shortage;
   account.wanted = 0;
   account.least_wanted = 0;
-  switch (end) {
-    case LoanEnd::kEnough:
-      account.next_loan = absl::InfinitePast();
-      return std::nullopt;
-    case LoanEnd::kSoon: {
-      const absl::Duration wait = kSoonInterval * (0.5 + Spread());
-      account.next_loan = now + wait;
-      return wait;
-    }
-    case LoanEnd::kPoolEmpty:
-    case LoanEnd::kNone:
-      account.next_loan = now + kLoanInterval;
-      return std::nullopt;
+  if (!shortage.has_value()) {
+    account.next_loan = absl::InfinitePast();
+    return std::nullopt;
   }
-  return std::nullopt;
+  if (*shortage != LoanOutlook::kSoon) {
+    account.next_loan = now + kLoanInterval;
+    return std::nullopt;
+  }
+  const absl::Duration wait = kSoonInterval * (0.5 + Spread());
+  account.next_loan = now + wait;
+  return wait;
 }
 
 }  // namespace wisteriareel
--- a/src/router/peer_loans.cc
+++ b/src/router/peer_loans.cc
@@ -183,12 +183,11 @@
 
 void PeerLoans::End(const Round& round) {
   const LoanRequest& request = round.request;
-  LoanEnd end = LoanEnd::kNone;
-  if (round.outlook == LoanOutlook::kSoon) end = LoanEnd::kSoon;
-  if (round.outlook == LoanOutlook::kPoolEmpty) end = LoanEnd::kPoolEmpty;
-  if (round.lent >= request.least.value()) end = LoanEnd::kEnough;
-  const std::optional<absl::Duration> again =
-      ledger_->CompleteLoan(request.customer, end, scheduler_->Now());
+  const bool enough = round.lent >= request.least.value();
+  const std::optional<absl::Duration> again = ledger_->CompleteLoan(
+      request.customer,
+      enough ? std::nullopt : std::optional<LoanOutlook>(round.outlook),
+      scheduler_->Now());
   if (again.has_value()) {
     scheduler_->After(*again, [this, customer = request.customer] {
       peers_->OnLedgerChanged(customer);
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -108,7 +108,7 @@
     const auto used =
         static_cast<std::int64_t>(static_cast<double>(most) * used_share);
     consumed_ += used;
-    instance->ledger->Settle(kCustomer, Tokens(most), Tokens(used), now_);
+    instance->ledger->Settle(kCustomer, Tokens(most), Tokens(used));
   }
 
   // `fate`: 0 answered, 1 lost before, 2 lost after it took effect, 3 late.
@@ -145,9 +145,11 @@
           from->ledger->Lend(loan.customer, loan.amount, loan.least, now_)
               .amount;
       if (!lost) to->ledger->Borrow(loan.customer, amount);
-      to->ledger->CompleteLoan(
-          loan.customer,
-          amount >= loan.least ? LoanEnd::kEnough : LoanEnd::kNone, now_);
+      to->ledger->CompleteLoan(loan.customer,
+                               amount >= loan.least
+                                   ? std::nullopt
+                                   : std::optional(LoanOutlook::kNone),
+                               now_);
     }
     const Tokens amount =
         from->ledger->Lend(kCustomer, Tokens(wanted), Tokens(0), now_).amount;
@@ -330,7 +332,7 @@
   Serve(ledger.get());
   ASSERT_EQ(ledger->Reserve(kCustomer, Tokens(40000), now_),
             ReserveResult::kReserved);
-  ledger->Settle(kCustomer, Tokens(40000), Tokens(0), now_);
+  ledger->Settle(kCustomer, Tokens(40000), Tokens(0));
   ledger->GiveUp();
   const auto orders = ledger->TakeOrders(now_);
   ASSERT_EQ(orders.size(), 1U);
@@ -385,7 +387,7 @@
   EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
             ReserveResult::kWait);
   ASSERT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
-  const auto again = borrower.CompleteLoan(kCustomer, LoanEnd::kSoon, now_);
+  const auto again = borrower.CompleteLoan(kCustomer, LoanOutlook::kSoon, now_);
   ASSERT_TRUE(again.has_value());
   EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
             ReserveResult::kWait);
@@ -403,7 +405,7 @@
   borrower.Borrow(kCustomer, Tokens(300));
   borrower.Reserve(kCustomer, Tokens(500), now_);
   borrower.TakeLoanRequests(now_);
-  borrower.CompleteLoan(kCustomer, LoanEnd::kSoon, now_);
+  borrower.CompleteLoan(kCustomer, LoanOutlook::kSoon, now_);
   borrower.Reserve(kCustomer, Tokens(500), now_);
   borrower.NoteContact(now_);
   borrower.GiveUp();
@@ -418,7 +420,7 @@
   borrower.SetHomes([](const CustomerId&) { return false; });
   borrower.Reserve(kCustomer, Tokens(500), now_);
   ASSERT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
-  borrower.CompleteLoan(kCustomer, LoanEnd::kPoolEmpty, now_);
+  borrower.CompleteLoan(kCustomer, LoanOutlook::kPoolEmpty, now_);
   EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
             ReserveResult::kHeldElsewhere);
 }
@@ -429,7 +431,7 @@
   borrower.SetHomes([](const CustomerId&) { return false; });
   borrower.Reserve(kCustomer, Tokens(500), now_);
   ASSERT_EQ(borrower.TakeLoanRequests(now_).size(), 1U);
-  borrower.CompleteLoan(kCustomer, LoanEnd::kNone, now_);
+  borrower.CompleteLoan(kCustomer, LoanOutlook::kNone, now_);
   EXPECT_EQ(borrower.Reserve(kCustomer, Tokens(500), now_),
             ReserveResult::kWait);
   Serve(&borrower);
