Share the set-up of tests that repeated it

Cause: found by comparing places: tests of the daemon, the target pool and the exchange repeated their set-up line by line, and one comment told of a rule that wasn't kept. Ruled out: parameterised tests (each expectation has a name of its own). Change: HeldTarget, ChosenOfRank and StartAtEngine; a check that an idle home is chosen, without which the one with a short queue could pass by chance.

--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -107,6 +107,13 @@
     exchange_->Start(kStart);
   }
 
+  // Starts a request to one of three model engines.
+  void StartAtEngine() {
+    ListTargets(3);
+    engine_ = EngineSpec{.slots = 64};
+    Start();
+  }
+
   void MakeStream(bool resumable) {
     route_.kind = RouteKind::kStreaming;
     route_.resumable = resumable;
@@ -138,9 +145,7 @@
 };
 
 TEST_F(ExchangeTest, AnEnginesLoadIsAskedForBeforeARequestIsSent) {
-  ListTargets(3);
-  engine_ = EngineSpec{.slots = 64};
-  Start();
+  StartAtEngine();
   EXPECT_THAT(host_.asked, SizeIs(2));
   EXPECT_THAT(host_.attempts, SizeIs(0));
   exchange_->OnLoads(kStart + absl::Milliseconds(2));
@@ -148,18 +153,14 @@
 }
 
 TEST_F(ExchangeTest, ALoadThatComesAfterTheCallerLeftStartsNothing) {
-  ListTargets(3);
-  engine_ = EngineSpec{.slots = 64};
-  Start();
+  StartAtEngine();
   exchange_->OnCallerGone(kStart + absl::Milliseconds(1));
   exchange_->OnLoads(kStart + absl::Milliseconds(2));
   EXPECT_THAT(host_.attempts, SizeIs(0));
 }
 
 TEST_F(ExchangeTest, ARequestWhoseTimeEndsWhileLoadsAreAskedForIsRefused) {
-  ListTargets(3);
-  engine_ = EngineSpec{.slots = 64};
-  Start();
+  StartAtEngine();
   exchange_->OnTimer(host_.timer);
   ASSERT_TRUE(host_.refused.has_value());
   EXPECT_EQ(host_.refused->status, 504);
--- a/test/forward_target_pool_test.cc
+++ b/test/forward_target_pool_test.cc
@@ -104,48 +104,43 @@
   EXPECT_THAT(pool.ToAsk(plain, kStart), IsEmpty());
 }
 
-TEST(TargetPoolTest, AHomeThatReportsALongQueueIsPassedOver) {
+constexpr Tokens kCache(400000);
+
+// Returns where a request goes whose home reports `home`, while the second in
+// rank is idle: 0 is the home, 1 the second.
+int ChosenOfRank(const TargetLoad& home) {
   TargetPool pool({.zone = ZoneId("a")});
   pool.ApplyListing(Targets(12), kStart);
   const PlacementNeed need = SharedNeed("part");
   const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
-  const auto quiet = pool.Choose(need, kStart);
-  EXPECT_EQ(quiet->target.id, asked[0].id);
-  pool.Finish(*quiet, TargetOutcome::kAnswered, kStart);
-  pool.NoteLoad(asked[0].id,
-                TargetLoad{.queued = 40,
-                           .running = 64,
-                           .reading = 20,
-                           .cache_total = Tokens(400000)},
-                kStart);
-  pool.NoteLoad(asked[1].id, TargetLoad{.cache_total = Tokens(400000)}, kStart);
-  EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[1].id);
+  pool.NoteLoad(asked[0].id, home, kStart);
+  pool.NoteLoad(asked[1].id, TargetLoad{.cache_total = kCache}, kStart);
+  const TargetId chosen = pool.Choose(need, kStart)->target.id;
+  if (chosen == asked[0].id) return 0;
+  return chosen == asked[1].id ? 1 : 2;
+}
+
+TEST(TargetPoolTest, AnIdleHomeIsChosen) {
+  EXPECT_EQ(ChosenOfRank({.cache_total = kCache}), 0);
+}
+
+TEST(TargetPoolTest, AHomeThatReportsALongQueueIsPassedOver) {
+  EXPECT_EQ(
+      ChosenOfRank(
+          {.queued = 40, .running = 64, .reading = 20, .cache_total = kCache}),
+      1);
 }
 
 TEST(TargetPoolTest, AShortQueueAtItsHomeIsNoReasonToReadAPartAgain) {
-  TargetPool pool({.zone = ZoneId("a")});
-  pool.ApplyListing(Targets(12), kStart);
-  const PlacementNeed need = SharedNeed("part");
-  const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
-  // Three prompts wait there for less than twice the time that the part takes.
-  pool.NoteLoad(asked[0].id,
-                TargetLoad{.queued = 3, .cache_total = Tokens(400000)}, kStart);
-  pool.NoteLoad(asked[1].id, TargetLoad{.cache_total = Tokens(400000)}, kStart);
-  EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[0].id);
+  // Three prompts are read there sooner than the part is elsewhere.
+  EXPECT_EQ(ChosenOfRank({.queued = 3, .cache_total = kCache}), 0);
 }
 
 TEST(TargetPoolTest, AHomeWithoutMemoryForTheRequestIsPassedOver) {
-  TargetPool pool({.zone = ZoneId("a")});
-  pool.ApplyListing(Targets(12), kStart);
-  const PlacementNeed need = SharedNeed("part");
-  const std::vector<TargetEntry> asked = pool.ToAsk(need, kStart);
-  pool.NoteLoad(asked[0].id,
-                TargetLoad{.running = 3,
-                           .cache_used = Tokens(390000),
-                           .cache_total = Tokens(400000)},
-                kStart);
-  pool.NoteLoad(asked[1].id, TargetLoad{.cache_total = Tokens(400000)}, kStart);
-  EXPECT_EQ(pool.Choose(need, kStart)->target.id, asked[1].id);
+  EXPECT_EQ(
+      ChosenOfRank(
+          {.running = 3, .cache_used = Tokens(390000), .cache_total = kCache}),
+      1);
 }
 
 TEST(TargetPoolTest, ATargetThatDoesNotAnswerIsUsedLast) {
@@ -191,10 +186,10 @@
           std::count_if(all.begin(), all.end(), [&](const Reading& reading) {
             return reading.arrived <= now - lag && reading.end > now - lag;
           });
-      pool.NoteLoad(target.id,
-                    TargetLoad{.queued = static_cast<int>(open),
-                               .cache_total = Tokens(400000)},
-                    now);
+      pool.NoteLoad(
+          target.id,
+          TargetLoad{.queued = static_cast<int>(open), .cache_total = kCache},
+          now);
     }
     const auto placement = pool.Choose(need, now);
     ASSERT_TRUE(placement.has_value());
--- a/test/router_daemon_test.cc
+++ b/test/router_daemon_test.cc
@@ -261,6 +261,28 @@
                       body.size(), "\r\n\r\n", body);
 }
 
+// A target that answers its one request when the test says.
+class HeldTarget {
+ public:
+  ~HeldTarget() { Answer(); }
+
+  std::uint16_t port() const { return target_.port(); }
+  void WaitForRequest() const {
+    while (!reached_) std::this_thread::yield();
+  }
+  void Answer() { answer_ = true; }
+
+ private:
+  std::atomic<bool> reached_ = false;
+  std::atomic<bool> answer_ = false;
+  ScriptedTarget target_{[this](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    reached_ = true;
+    while (!answer_) std::this_thread::yield();
+    ScriptedTarget::Write(fd, WholeAnswer("q1", "done"));
+  }};
+};
+
 TEST_F(RouterDaemonTest, ARequestIsServedFromEndToEnd) {
   std::string seen;
   ScriptedTarget target([&seen](int fd) {
@@ -345,18 +367,11 @@
 // Seen on a played day: a request that came in the moment before the process
 // ended was cut.
 TEST_F(RouterDaemonTest, AnInstanceThatIsAboutToEndBeginsNoRequest) {
-  std::atomic<bool> reached = false;
-  std::atomic<bool> answer = false;
-  ScriptedTarget target([&](int fd) {
-    ScriptedTarget::ReadHead(fd);
-    reached = true;
-    while (!answer) std::this_thread::yield();
-    ScriptedTarget::Write(fd, WholeAnswer("q1", "done"));
-  });
+  HeldTarget target;
   Start(target.port(), RouteKind::kNonIdempotent);
   RawConnection caller(settings_.listen.callers.port);
   caller.Send(Request("q1"));
-  while (!reached) std::this_thread::yield();
+  target.WaitForRequest();
   kill(getpid(), SIGTERM);
   // No route leads there: it is answered at once as long as requests are taken.
   std::string late;
@@ -369,29 +384,22 @@
   }
   EXPECT_THAT(late, HasSubstr("draining"));
   EXPECT_THAT(late, HasSubstr("not_run"));
-  answer = true;
+  target.Answer();
   EXPECT_THAT(caller.ReadAll(), HasSubstr("done"));
   thread_.join();
 }
 
 TEST_F(RouterDaemonTest, ATerminatedInstanceFinishesWhatItHasTaken) {
-  std::atomic<bool> reached = false;
-  std::atomic<bool> answer = false;
-  ScriptedTarget target([&](int fd) {
-    ScriptedTarget::ReadHead(fd);
-    reached = true;
-    while (!answer) std::this_thread::yield();
-    ScriptedTarget::Write(fd, WholeAnswer("q1", "done"));
-  });
+  HeldTarget target;
   Start(target.port(), RouteKind::kNonIdempotent);
   RawConnection caller(settings_.listen.callers.port);
   caller.Send(Request("q1"));
-  while (!reached) std::this_thread::yield();
+  target.WaitForRequest();
   kill(getpid(), SIGTERM);
   while (!absl::StartsWith(Ask(settings_.listen.ready.port, "GET /ready"),
                            "HTTP/1.1 503")) {
   }
-  answer = true;
+  target.Answer();
   const std::string bytes = caller.ReadAll();
   EXPECT_THAT(bytes, HasSubstr("done"));
   EXPECT_THAT(bytes, HasSubstr("Connection: close"));
