Split the tests of the caller server by job

Change: the fixture is a header; what strangers send (requests that can't be read, slow callers, too many connections) has a file of its own.

--- a/test/edge_tests.cmake
+++ b/test/edge_tests.cmake
@@ -3,5 +3,7 @@
 wisteriareel_test(http_target_client_test THREADED
   LIBRARIES wisteriareel_standins)
 wisteriareel_test(http_caller_server_test THREADED
+  LIBRARIES wisteriareel_http wisteriareel_config)
+wisteriareel_test(http_caller_hostility_test THREADED
   LIBRARIES wisteriareel_http wisteriareel_config rapidcheck)
 wisteriareel_test(http_tls_test THREADED LIBRARIES wisteriareel_http)
