Keep HTTP clients with requests in progress when there are too many

Cause: PeerLoans and LoadClient destroyed all their clients when a 65th instance or a 257th engine was contacted. The callbacks of requests in progress then never ran. A loan that never ended kept its customer's requests at that instance waiting for tokens until their time limit, for good; a load query that never ended kept its request waiting. At 74 and 95 instances both can be reached within a minute. Beside it, a listing of the instances ended at the first row that was due for removal, which hid all instances after it. Ruled out: sessions that outlive their client and still run their callback; the owner of a destroyed client may be gone. Change: HttpClientPool destroys the client unused for the longest time that has no request in progress. The listing goes on after a row to be removed. Measured: LoadClientTest.EveryQueryEndsWhenThereAreMoreEnginesThanClients and InstanceRegistryTest.AnExpiredRowHidesNoOtherInstances fail before and pass after.

--- a/src/router/instance_registry.cc
+++ b/src/router/instance_registry.cc
@@ -123,7 +123,7 @@
     if (now - member.changed_at > options_.removal_timeout) {
       removal.conditions.push_back({.key = row.key, .version = row.version});
       removal.writes.push_back({.key = row.key});
-      break;
+      continue;
     }
     members[row.key.key] = member;
   }
--- a/src/router/peer_loans.cc
+++ b/src/router/peer_loans.cc
@@ -35,7 +35,7 @@
   return loan;
 }
 
-// Maximum number of clients. When it is reached, all of them are destroyed.
+// Maximum number of instances to which connections are kept.
 constexpr std::size_t kMaxClients = 64;
 
 }  // namespace
@@ -45,12 +45,12 @@
                      PrepaidLedger* ledger, EventLog* log,
                      LoanPeerDirectory* peers)
     : options_(options),
-      io_(io),
       scheduler_(scheduler),
       random_(random),
       ledger_(ledger),
       log_(log),
-      peers_(peers) {}
+      peers_(peers),
+      clients_(io, kMaxClients) {}
 
 void PeerLoans::RequestLoans() {
   for (const LoanRequest& request :
@@ -94,13 +94,6 @@
                     [this, round] { CompleteQuery(round); });
 }
 
-AsyncHttpClient* PeerLoans::ClientFor(const Endpoint& peer) {
-  if (clients_.size() >= kMaxClients) clients_.clear();
-  std::unique_ptr<AsyncHttpClient>& client = clients_[peer];
-  if (client == nullptr) client = std::make_unique<AsyncHttpClient>(io_, peer);
-  return client.get();
-}
-
 void PeerLoans::TransferTokens() {
   const absl::Time now = scheduler_->Now();
   for (const TokenTransfer& transfer : ledger_->TakeTransfers(now)) {
@@ -117,7 +110,7 @@
                                       : absl::StrCat(peers.front().host, ":",
                                                      peers.front().port)}});
     if (peers.empty()) continue;
-    ClientFor(peers.front())
+    clients_.Get(peers.front())
         ->Start(
             {.method = "POST",
              .target = absl::StrCat(kPeerTransferPath, transfer.amount.value(),
@@ -152,7 +145,7 @@
 void PeerLoans::RequestLoan(const Endpoint& peer,
                             const std::shared_ptr<Round>& round) {
   const LoanRequest& request = round->request;
-  ClientFor(peer)->Start(
+  clients_.Get(peer)->Start(
       {.method = "POST",
        .target = absl::StrCat(
            kPeerLoanPath, request.amount.value(), "/",
--- a/src/router/peer_loans.h
+++ b/src/router/peer_loans.h
@@ -11,7 +11,7 @@
 #include "boost/asio/io_context.hpp"
 #include "src/forward/prepaid_ledger.h"
 #include "src/router/scheduler.h"
-#include "src/runtime/async_http_client.h"
+#include "src/runtime/http_client_pool.h"
 #include "wisteriareel/event_log.h"
 #include "wisteriareel/random_source.h"
 #include "wisteriareel/types.h"
@@ -87,13 +87,11 @@
 
   void QueryHomeInstance(const std::shared_ptr<Round>& round);
   void QueryOtherInstances(const std::shared_ptr<Round>& round);
-  AsyncHttpClient* ClientFor(const Endpoint& peer);
   void RequestLoan(const Endpoint& peer, const std::shared_ptr<Round>& round);
   void CompleteQuery(const std::shared_ptr<Round>& round);
   void FinishRound(const Round& round);
 
   const PeerLoansOptions options_;
-  boost::asio::io_context* const io_;
   Scheduler* const scheduler_;
   RandomSource* const random_;
   PrepaidLedger* const ledger_;
@@ -101,7 +99,7 @@
   LoanPeerDirectory* const peers_;
   // Instances that didn't respond, and the time until which they are skipped.
   std::map<Endpoint, absl::Time> unresponsive_until_;
-  std::map<Endpoint, std::unique_ptr<AsyncHttpClient>> clients_;
+  HttpClientPool clients_;
 };
 
 // Path of a loan request, followed by the tokens wanted, the minimum that is
--- a/src/runtime/async_http_client.cc
+++ b/src/runtime/async_http_client.cc
@@ -34,6 +34,8 @@
 
 struct AsyncHttpClient::Idle {
   std::vector<std::unique_ptr<Socket>> sockets;
+  // Sessions whose callback has yet to run.
+  int in_progress = 0;
   bool closed = false;
 };
 
@@ -137,6 +139,7 @@
   void Finish(std::optional<HttpResponse> response) {
     if (done_ == nullptr) return;
     const Done done = std::exchange(done_, nullptr);
+    --idle_->in_progress;
     timer_.cancel();
     if (socket_ != nullptr) {
       error_code ec;
@@ -171,7 +174,12 @@
 void AsyncHttpClient::Start(const Request& request, Done done) {
   const auto session =
       std::make_shared<Session>(io_, endpoint_, idle_, std::move(done));
+  ++idle_->in_progress;
   session->Start(request);
 }
 
+bool AsyncHttpClient::HasRequestInProgress() const {
+  return idle_->in_progress > 0;
+}
+
 }  // namespace wisteriareel
--- a/src/runtime/async_http_client.h
+++ b/src/runtime/async_http_client.h
@@ -48,6 +48,9 @@
   // client is destroyed before.
   void Start(const Request& request, Done done);
 
+  // Returns true while the callback of a request has yet to run.
+  bool HasRequestInProgress() const;
+
  private:
   class Session;
 
--- a/test/load_probe_test.cc
+++ b/test/load_probe_test.cc
@@ -109,5 +109,27 @@
   EXPECT_EQ(ReadFrom({.status = 200, .body = "no JSON"}), std::nullopt);
 }
 
+// Guards against requests that never end: when the number of clients reached
+// its maximum, all of them were destroyed with the requests in progress, and
+// the exchanges that waited for a report went on waiting.
+TEST(LoadClientTest, EveryQueryEndsWhenThereAreMoreEnginesThanClients) {
+  boost::asio::io_context io;
+  // Accepts connections into its backlog and never responds.
+  boost::asio::ip::tcp::acceptor silent(
+      io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+  platform::LoadClient loads(&io);
+  constexpr int kEngines = 300;
+  int ended = 0;
+  for (int n = 0; n < kEngines; ++n) {
+    TargetEntry engine = Target(n);
+    engine.address = {.host = absl::StrCat("127.0.", n / 250, ".", n % 250 + 1),
+                      .port = silent.local_endpoint().port()};
+    loads.ReadLoad(engine, absl::Milliseconds(40),
+                   [&ended](const std::optional<TargetLoad>&) { ++ended; });
+  }
+  io.run();
+  EXPECT_EQ(ended, kEngines);
+}
+
 }  // namespace
 }  // namespace wisteriareel
--- a/test/router_components_test.cc
+++ b/test/router_components_test.cc
@@ -303,6 +303,29 @@
   }
 }
 
+// Guards against a listing that ends at the first row to be removed: the
+// instances listed after it were unknown until the next listing.
+TEST_F(InstanceRegistryTest, AnExpiredRowHidesNoOtherInstances) {
+  RecordingOwner owners[2];
+  // The row of an instance that never writes again; it is listed first.
+  table_.Commit(
+      {.writes = {{.key = {.table = "members", .partition = "", .key = "a"},
+                   .value = EncodeInstanceHeartbeat(
+                       {.address = {.host = "10.0.0.9", .port = 1}})}}},
+      [](const CommitReply&) {});
+  const auto observer = StartInstance(1, &owners[0]);
+  const auto other = StartInstance(2, &owners[1]);
+  scheduler_.Advance(absl::Seconds(12));
+  ASSERT_EQ(observer->OtherInstances().size(), 2U);
+  const absl::Time end = scheduler_.Now() + absl::Minutes(6);
+  while (scheduler_.Now() < end) {
+    scheduler_.Advance(absl::Milliseconds(100));
+    ASSERT_THAT(observer->OtherInstances(),
+                ::testing::Contains(Endpoint{.host = "10.0.0.2", .port = 1}));
+  }
+  EXPECT_EQ(observer->OtherInstances().size(), 1U);
+}
+
 TEST_F(InstanceRegistryTest, TheCountIsAtLeastTheAssumedOneAfterTheStart) {
   RecordingOwner owner;
   const auto registry = StartInstance(0, &owner);
