Take the prepaid tokens of one instance out of RouterDaemon

Cause: the wiring of ledger, transactions, loans and the list of instances sat in RouterDaemon between sockets and signals, and PeerLoans owned HTTP clients, so that no experiment or test could drive a fleet of them on a paused clock. Ruled out: a second wiring in the experiment; it would drift from the daemon's. Change: TokenPlane composes them over the abstract AsyncTable, Scheduler and PeerClient; HttpPeerClient is the binding.

--- a/src/router/peer_loans.cc
+++ b/src/router/peer_loans.cc
@@ -35,22 +35,19 @@
   return loan;
 }
 
-// Maximum number of instances to which connections are kept.
-constexpr std::size_t kMaxClients = 64;
-
 }  // namespace
 
-PeerLoans::PeerLoans(PeerLoansOptions options, boost::asio::io_context* io,
+PeerLoans::PeerLoans(PeerLoansOptions options, PeerClient* client,
                      Scheduler* scheduler, RandomSource* random,
                      PrepaidLedger* ledger, EventLog* log,
                      LoanPeerDirectory* peers)
     : options_(options),
+      client_(client),
       scheduler_(scheduler),
       random_(random),
       ledger_(ledger),
       log_(log),
-      peers_(peers),
-      clients_(io, kMaxClients) {}
+      peers_(peers) {}
 
 void PeerLoans::RequestLoans() {
   for (const LoanRequest& request :
@@ -110,22 +107,20 @@
                                       : absl::StrCat(peers.front().host, ":",
                                                      peers.front().port)}});
     if (peers.empty()) continue;
-    clients_.Get(peers.front())
-        ->Start(
-            {.method = "POST",
-             .target = absl::StrCat(kPeerTransferPath, transfer.amount.value(),
-                                    "/", transfer.customer.value()),
-             .timeout = options_.timeout},
-            [this, transfer](const std::optional<HttpResponse>& reply) {
-              if (reply.has_value() && reply->status == 200) return;
-              // Not retried: the tokens may have arrived, and a second
-              // transfer would count them twice.
-              log_->Write(
-                  EventId::kTokensHandedOver, Severity::kWarning,
-                  "token transfer not confirmed; the tokens may be lost",
-                  {{"customer", transfer.customer.value()},
-                   {"amount", absl::StrCat(transfer.amount.value())}});
-            });
+    client_->Send(peers.front(),
+                  absl::StrCat(kPeerTransferPath, transfer.amount.value(), "/",
+                               transfer.customer.value()),
+                  options_.timeout,
+                  [this, transfer](const std::optional<PeerResponse>& reply) {
+                    if (reply.has_value() && reply->accepted) return;
+                    // Not retried: the tokens may have arrived, and a second
+                    // transfer would count them twice.
+                    log_->Write(
+                        EventId::kTokensHandedOver, Severity::kWarning,
+                        "token transfer not confirmed; the tokens may be lost",
+                        {{"customer", transfer.customer.value()},
+                         {"amount", absl::StrCat(transfer.amount.value())}});
+                  });
   }
 }
 
@@ -145,22 +140,21 @@
 void PeerLoans::RequestLoan(const Endpoint& peer,
                             const std::shared_ptr<Round>& round) {
   const LoanRequest& request = round->request;
-  clients_.Get(peer)->Start(
-      {.method = "POST",
-       .target = absl::StrCat(
-           kPeerLoanPath, request.amount.value(), "/",
-           request.from_any_instance ? 0 : request.min_amount.value(), "/",
-           request.customer.value()),
-       .timeout = options_.timeout},
-      [this, peer, round](const std::optional<HttpResponse>& reply) {
+  client_->Send(
+      peer,
+      absl::StrCat(kPeerLoanPath, request.amount.value(), "/",
+                   request.from_any_instance ? 0 : request.min_amount.value(),
+                   "/", request.customer.value()),
+      options_.timeout,
+      [this, peer, round](const std::optional<PeerResponse>& reply) {
         unresponsive_until_.erase(peer);
         if (!reply.has_value()) {
           unresponsive_until_[peer] =
               scheduler_->Now() + options_.unresponsive_backoff;
         }
-        const std::optional<Loan> loan =
-            reply.has_value() && reply->status == 200 ? DecodeLoan(reply->body)
-                                                      : std::nullopt;
+        const std::optional<Loan> loan = reply.has_value() && reply->accepted
+                                             ? DecodeLoan(reply->body)
+                                             : std::nullopt;
         if (loan.has_value() && round->querying_home) {
           round->availability = loan->availability;
         }
--- a/src/router/peer_loans.h
+++ b/src/router/peer_loans.h
@@ -8,10 +8,9 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "boost/asio/io_context.hpp"
 #include "src/forward/prepaid_ledger.h"
+#include "src/router/peer_client.h"
 #include "src/router/scheduler.h"
-#include "src/runtime/http_client_pool.h"
 #include "wisteriareel/event_log.h"
 #include "wisteriareel/random_source.h"
 #include "wisteriareel/types.h"
@@ -51,9 +50,9 @@
 class PeerLoans {
  public:
   // The pointers must outlive this object.
-  PeerLoans(PeerLoansOptions options, boost::asio::io_context* io,
-            Scheduler* scheduler, RandomSource* random, PrepaidLedger* ledger,
-            EventLog* log, LoanPeerDirectory* peers);
+  PeerLoans(PeerLoansOptions options, PeerClient* client, Scheduler* scheduler,
+            RandomSource* random, PrepaidLedger* ledger, EventLog* log,
+            LoanPeerDirectory* peers);
 
   // Requests the loans that the ledger needs.
   void RequestLoans();
@@ -92,6 +91,7 @@
   void FinishRound(const Round& round);
 
   const PeerLoansOptions options_;
+  PeerClient* const client_;
   Scheduler* const scheduler_;
   RandomSource* const random_;
   PrepaidLedger* const ledger_;
@@ -99,7 +99,6 @@
   LoanPeerDirectory* const peers_;
   // Instances that didn't respond, and the time until which they are skipped.
   std::map<Endpoint, absl::Time> unresponsive_until_;
-  HttpClientPool clients_;
 };
 
 // Path of a loan request, followed by the tokens wanted, the minimum that is
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -33,8 +33,6 @@
                            boost::asio::io_context* io, EventLog* log,
                            std::function<void()> reload)
     : settings_(std::move(settings)),
-      table_(platform.table),
-      started_(SystemClock()->Now()),
       io_(io),
       log_(log),
       reload_(std::move(reload)),
@@ -44,8 +42,17 @@
       retry_limiter_({.ratio = settings_.retry.ratio,
                       .slack = settings_.retry.slack,
                       .window = settings_.retry.window}),
-      ledger_({.instance = settings_.instance.id.value(),
-               .incarnation = random_->HexId()}),
+      peer_client_(io),
+      tokens_({.instance = settings_.instance.id,
+               .incarnation = random_->HexId(),
+               .address = settings_.listen.peers,
+               .seeds = settings_.seeds},
+              {.table = platform.table,
+               .peers = &peer_client_,
+               .scheduler = &scheduler_,
+               .random = random_.get(),
+               .log = log,
+               .owner = static_cast<TokenPlaneOwner*>(this)}),
       router_({}),
       target_connections_(SystemClock()),
       overload_({.link_bytes_per_s = settings_.link_mbps * kBytesPerMbit}),
@@ -61,31 +68,23 @@
                             .exchange = {.pool = &target_pool_,
                                          .retry_limiter = &retry_limiter_,
                                          .overload = &overload_,
-                                         .ledger = &ledger_,
+                                         .ledger = tokens_.ledger(),
                                          .log = log,
                                          .counters = &counters_},
                             .owner = this}),
-      config_poller_({}, platform.source, &router_, &scheduler_, log,
-                     [this] { OnConfigApplied(); }),
+      config_poller_(
+          {}, platform.source, &router_, &scheduler_, log,
+          [this] { tokens_.ApplyConfig(router_.table()->config()); }),
       target_list_poller_(
           {}, platform.source, &target_pool_, &scheduler_, log,
           [this](const TargetId& id) { target_connections_.CloseIdle(id); }),
-      instance_registry_(
-          {.self = settings_.instance.id, .address = settings_.listen.peers},
-          platform.table, &scheduler_,
-          static_cast<InstanceRegistryOwner*>(this)),
-      transaction_sender_(
-          &ledger_, platform.table, &scheduler_, log,
-          [this](const CustomerId& id) { OnLedgerChanged(id); }),
       config_fetcher_(
           {}, io, &scheduler_, random_.get(), &router_, &config_poller_,
           [this] {
             return !config_poller_.source_available() ||
                    !target_list_poller_.source_available();
           },
-          [this] { return Peers(); }),
-      peer_loans_({}, io, &scheduler_, random_.get(), &ledger_, log,
-                  static_cast<LoanPeerDirectory*>(this)),
+          [this] { return tokens_.Peers(); }),
       ready_server_(
           io, [this](const std::string&, const std::string&,
                      const std::string&) { return HandleReadyRequest(); }),
@@ -107,7 +106,7 @@
   WaitForSignal();
   config_poller_.Start();
   target_list_poller_.Start();
-  instance_registry_.Start();
+  tokens_.Start();
   config_fetcher_.Start();
   log_->Write(EventId::kDaemonStarted, Severity::kInfo, "router started",
               {{"instance", settings_.instance.id.value()},
@@ -161,22 +160,8 @@
 HttpResponse RouterDaemon::HandlePeerRequest(const std::string& target) {
   if (target == kMetricsPath)
     return {.status = 200, .body = counters_.FormatMetrics()};
-  const std::string loan_path(kPeerLoanPath);
-  if (target.starts_with(loan_path)) {
-    const std::optional<std::string> loan = PeerLoans::HandleLoanRequest(
-        target.substr(loan_path.size()), &ledger_, scheduler_.Now());
-    // The loan may leave too few tokens here, so that new ones must be
-    // requested from the platform.
-    transaction_sender_.SendDueTransactions();
-    if (loan.has_value()) return {.status = 200, .body = *loan};
-    return {.status = 404};
-  }
-  const std::string transfer_path(kPeerTransferPath);
-  if (target.starts_with(transfer_path)) {
-    const bool accepted =
-        !draining_ && PeerLoans::AcceptTransfer(
-                          target.substr(transfer_path.size()), &ledger_);
-    return {.status = accepted ? 200 : 404};
+  if (const auto response = tokens_.HandlePeerRequest(target)) {
+    return {.status = 200, .body = *response};
   }
   std::uint64_t revision = 0;
   const std::string path(kPeerConfigPath);
@@ -191,86 +176,17 @@
                   !router_.IsStale(scheduler_.Now()))};
 }
 
-void RouterDaemon::OnConfigApplied() {
-  ledger_.SetBudgets(router_.table()->config(), scheduler_.Now());
-  UpdateHomeInstances();
-  transaction_sender_.SendDueTransactions();
-}
-
-void RouterDaemon::OnPreviousIncarnation(
-    const std::optional<InstanceHeartbeat>& last) {
-  // `since` is the time from the last contact of the previous incarnation to
-  // the start of this one. The previous one ended before that.
-  const std::optional<TableContact> contact = table_->LastContact();
-  InheritedUse use = InheritedUse::kAll;
-  absl::Duration since = absl::InfiniteDuration();
-  if (last.has_value() && contact.has_value()) {
-    since = absl::Milliseconds(contact->platform_ms - last->contact_ms) -
-            (contact->sent - started_);
-    if (since < PrepaidLedgerOptions().reserve_after) {
-      use = InheritedUse::kAuthorized;
-    }
-  }
-  ledger_.SetInheritedUse(use);
-  log_->Write(EventId::kTokensInherited, Severity::kInfo,
-              "inherited the tokens of a previous incarnation",
-              {{"reserve", use == InheritedUse::kAll ? "lost" : "kept"},
-               {"since_contact", absl::FormatDuration(since)}});
-  transaction_sender_.Start();
-}
-
-std::optional<std::int64_t> RouterDaemon::ContactToReport() {
-  const std::optional<TableContact> contact = table_->LastContact();
-  if (!contact.has_value()) return std::nullopt;
-  ledger_.RecordContact(contact->sent);
-  if (!ledger_.IsWithinAuthorized()) return std::nullopt;
-  return contact->platform_ms;
-}
-
 void RouterDaemon::OnInstancesCounted(int count) {
   retry_limiter_.SetInstances(count);
-  ledger_.SetInstances(count);
-  UpdateHomeInstances();
 }
 
-void RouterDaemon::UpdateHomeInstances() {
-  ledger_.SetHomeCustomers([this](const CustomerId& customer) {
-    return !FindHomeInstance(customer).has_value();
-  });
-}
-
-std::optional<Endpoint> RouterDaemon::FindHomeInstance(
-    const CustomerId& customer) const {
-  return instance_registry_.FindHomeInstance(customer.value());
-}
-
-void RouterDaemon::OnLedgerChanged(const CustomerId& customer) {
+void RouterDaemon::OnTokensChanged(const CustomerId& customer) {
   const std::vector<std::shared_ptr<CallerConnection>> connections(
       connections_.begin(), connections_.end());
   for (const auto& connection : connections) {
     if (connection->IsWaitingForTokensOf(customer))
       connection->OnLedgerChanged();
   }
-  OnWaitingForTokens();
-}
-
-void RouterDaemon::OnWaitingForTokens() {
-  transaction_sender_.SendDueTransactions();
-  peer_loans_.RequestLoans();
-}
-
-std::vector<Endpoint> RouterDaemon::RankInstances(
-    const CustomerId& customer) const {
-  std::vector<Endpoint> ranked =
-      instance_registry_.RankInstances(customer.value());
-  return ranked.empty() ? Peers() : ranked;
-}
-
-std::vector<Endpoint> RouterDaemon::Peers() const {
-  std::vector<Endpoint> peers = instance_registry_.OtherInstances();
-  if (peers.empty()) peers = settings_.seeds;
-  std::erase(peers, settings_.listen.peers);
-  return peers;
 }
 
 void RouterDaemon::OnConnectionClosed(CallerConnection* connection) {
@@ -284,6 +200,7 @@
 
 void RouterDaemon::BeginShutdown() {
   draining_ = true;
+  tokens_.StartDraining();
   draining_since_ = scheduler_.Now();
   log_->Write(EventId::kDaemonDraining, Severity::kInfo, "router draining",
               {{"connections", absl::StrCat(connections_.size())}});
@@ -299,16 +216,13 @@
         connections_.begin(), connections_.end());
     for (const auto& connection : connections) connection->CloseIfIdle();
     if (!AnyConnectionBusy() || elapsed >= latest - kTokenReturn) {
-      if (!returning_tokens_) ledger_.StartReturningTokens();
-      returning_tokens_ = true;
-      peer_loans_.TransferTokens();
-      transaction_sender_.SendDueTransactions();
+      tokens_.ReturnTokens();
     }
-    const bool quiet = !AnyConnectionBusy() && ledger_.IsSettled();
+    const bool quiet = !AnyConnectionBusy() && tokens_.IsSettled();
     if (quiet || elapsed >= latest) {
       // Heartbeats continue until here: if the process is killed earlier, the
       // last one shows whether it can have used the reserve.
-      if (quiet) instance_registry_.Leave();
+      if (quiet) tokens_.Leave();
       scheduler_.After(kShutdownTick,
                        [this, quiet] { Stop(quiet ? "clean" : "grace over"); });
       return;
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -11,20 +11,18 @@
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/signal_set.hpp"
-#include "src/forward/prepaid_ledger.h"
 #include "src/forward/request_router.h"
 #include "src/forward/retry_limiter.h"
 #include "src/forward/target_pool.h"
 #include "src/observability/histogram_counters.h"
 #include "src/router/asio_scheduler.h"
 #include "src/router/deployment_source.h"
-#include "src/router/instance_registry.h"
-#include "src/router/ledger_transaction_sender.h"
+#include "src/router/http_peer_client.h"
 #include "src/router/peer_config_fetcher.h"
-#include "src/router/peer_loans.h"
 #include "src/router/route_config_poller.h"
 #include "src/router/router_settings.h"
 #include "src/router/target_list_poller.h"
+#include "src/router/token_plane.h"
 #include "src/runtime/async_http_server.h"
 #include "src/runtime/caller_connection.h"
 #include "src/runtime/load_probe.h"
@@ -46,8 +44,7 @@
 // One router instance: connects the routing logic to sockets, timers and
 // signals, on one thread.
 class RouterDaemon final : private CallerConnectionOwner,
-                           private InstanceRegistryOwner,
-                           private LoanPeerDirectory {
+                           private TokenPlaneOwner {
  public:
   // The pointers must outlive the daemon. `reload` runs on SIGHUP.
   RouterDaemon(RouterSettings settings, const RouterDependencies& platform,
@@ -71,31 +68,17 @@
   bool IsReady() const;
   HttpResponse HandleReadyRequest() const;
   HttpResponse HandlePeerRequest(const std::string& target);
-  void OnConfigApplied();
-  void UpdateHomeInstances();
   bool AnyConnectionBusy() const;
 
   void OnConnectionClosed(CallerConnection* connection) override;
   bool Draining() const override { return draining_; }
   bool AcceptsRequests() const override { return !closing_; }
-  void OnWaitingForTokens() override;
+  void OnWaitingForTokens() override { tokens_.OnWaitingForTokens(); }
 
   void OnInstancesCounted(int count) override;
-  void OnPreviousIncarnation(
-      const std::optional<InstanceHeartbeat>& last) override;
-  std::optional<std::int64_t> ContactToReport() override;
-
-  std::optional<Endpoint> FindHomeInstance(
-      const CustomerId& customer) const override;
-  std::vector<Endpoint> RankInstances(
-      const CustomerId& customer) const override;
-  // Returns the other instances, or the seeds if no instance is known.
-  std::vector<Endpoint> Peers() const;
-  void OnLedgerChanged(const CustomerId& customer) override;
+  void OnTokensChanged(const CustomerId& customer) override;
 
   const RouterSettings settings_;
-  AsyncTable* const table_;
-  const absl::Time started_;
   boost::asio::io_context* const io_;
   EventLog* const log_;
   const std::function<void()> reload_;
@@ -104,7 +87,8 @@
   AsioScheduler scheduler_;
   TargetPool target_pool_;
   RetryLimiter retry_limiter_;
-  PrepaidLedger ledger_;
+  HttpPeerClient peer_client_;
+  TokenPlane tokens_;
   RequestRouter router_;
   TargetConnectionPool target_connections_;
   OverloadGuard overload_;
@@ -112,10 +96,7 @@
   CallerConnectionDependencies caller_dependencies_;
   RouteConfigPoller config_poller_;
   TargetListPoller target_list_poller_;
-  InstanceRegistry instance_registry_;
-  LedgerTransactionSender transaction_sender_;
   PeerConfigFetcher config_fetcher_;
-  PeerLoans peer_loans_;
   AsyncHttpServer ready_server_;
   AsyncHttpServer peer_server_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -124,7 +105,6 @@
   bool draining_ = false;
   // The balancer had time to notice the drain: new requests are refused.
   bool closing_ = false;
-  bool returning_tokens_ = false;
   absl::Time draining_since_;
 };
 
--- /dev/null
+++ b/src/router/token_plane.h
@@ -0,0 +1,123 @@
+#ifndef WISTERIAREEL_SRC_ROUTER_TOKEN_PLANE_H_
+#define WISTERIAREEL_SRC_ROUTER_TOKEN_PLANE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "src/forward/prepaid_ledger.h"
+#include "src/forward/route_config.h"
+#include "src/router/instance_registry.h"
+#include "src/router/ledger_transaction_sender.h"
+#include "src/router/peer_client.h"
+#include "src/router/peer_loans.h"
+#include "src/router/scheduler.h"
+#include "wisteriareel/async_table.h"
+#include "wisteriareel/event_log.h"
+#include "wisteriareel/random_source.h"
+#include "wisteriareel/types.h"
+
+namespace wisteriareel {
+
+struct TokenPlaneOptions {
+  InstanceId instance;
+  // Id of this incarnation of the instance; never reused.
+  std::string incarnation;
+  // Address for calls by other instances.
+  Endpoint address;
+  // Other instances to call while none is listed. May be outdated.
+  std::vector<Endpoint> seeds;
+};
+
+// Receives the events of a TokenPlane.
+class TokenPlaneOwner {
+ public:
+  virtual ~TokenPlaneOwner() = default;
+
+  // Called with the number of instances, including this one.
+  virtual void OnInstancesCounted(int count) = 0;
+  // Called when the customer's tokens may have changed.
+  virtual void OnTokensChanged(const CustomerId& customer) = 0;
+};
+
+// The pointers must outlive the TokenPlane.
+struct TokenPlaneDependencies {
+  AsyncTable* table = nullptr;
+  PeerClient* peers = nullptr;
+  Scheduler* scheduler = nullptr;
+  RandomSource* random = nullptr;
+  EventLog* log = nullptr;
+  TokenPlaneOwner* owner = nullptr;
+};
+
+// The prepaid tokens of one instance: the ledger, its transactions with the
+// platform, the loans between instances, and the list of instances by which
+// they find each other. Opens no connections. Not thread-safe.
+class TokenPlane final : private InstanceRegistryOwner,
+                         private LoanPeerDirectory {
+ public:
+  TokenPlane(TokenPlaneOptions options,
+             const TokenPlaneDependencies& dependencies);
+
+  void Start();
+
+  PrepaidLedger* ledger() { return &ledger_; }
+
+  // Applies the budgets of `config`.
+  void ApplyConfig(const RouteConfig& config);
+
+  // Called when a request waits for tokens.
+  void OnWaitingForTokens();
+
+  // Returns the response to a request of another instance; nullopt if `path`
+  // isn't one of this class's paths or is malformed.
+  std::optional<std::string> HandlePeerRequest(const std::string& path);
+
+  // Returns the other instances, or the seeds if no instance is known.
+  std::vector<Endpoint> Peers() const;
+
+  // Accepts no more tokens of other instances.
+  void StartDraining() { draining_ = true; }
+
+  // Returns the unspent tokens to the platform, or hands them over to another
+  // instance if the platform is unavailable. Called repeatedly until IsSettled.
+  void ReturnTokens();
+
+  bool IsSettled() const { return ledger_.IsSettled(); }
+
+  // Removes this instance from the list of instances.
+  void Leave() { registry_.Leave(); }
+
+ private:
+  void UpdateHomeInstances();
+
+  void OnInstancesCounted(int count) override;
+  void OnPreviousIncarnation(
+      const std::optional<InstanceHeartbeat>& last) override;
+  std::optional<std::int64_t> ContactToReport() override;
+
+  std::optional<Endpoint> FindHomeInstance(
+      const CustomerId& customer) const override;
+  std::vector<Endpoint> RankInstances(
+      const CustomerId& customer) const override;
+  void OnLedgerChanged(const CustomerId& customer) override;
+
+  const TokenPlaneOptions options_;
+  AsyncTable* const table_;
+  Scheduler* const scheduler_;
+  EventLog* const log_;
+  TokenPlaneOwner* const owner_;
+  const absl::Time started_;
+  PrepaidLedger ledger_;
+  InstanceRegistry registry_;
+  LedgerTransactionSender sender_;
+  PeerLoans loans_;
+  bool draining_ = false;
+  bool returning_tokens_ = false;
+};
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_SRC_ROUTER_TOKEN_PLANE_H_
