--- a/bench/budget_experiment.cc
+++ b/bench/budget_experiment.cc
@@ -1,5 +1,6 @@
 // Compares implementations of prepaid budgets under faults.
 // Usage: budget_experiment TABLE.md PLOT.svg
+//        budget_experiment --fleet SEEDS TABLE.md PLOT.svg
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
@@ -12,12 +13,14 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "bench/budget_models.h"
 #include "bench/budget_plot.h"
 #include "bench/budget_run.h"
 #include "bench/budget_trace.h"
+#include "bench/token_experiment.h"
 
 namespace wisteriareel {
 namespace {
@@ -206,13 +209,32 @@
                                                          : EXIT_FAILURE;
 }
 
+// Refusals for prepaid tokens in simulated fleets of routers.
+int RunFleets(int seeds, const std::string& table_path,
+              const std::string& plot_path) {
+  const std::vector<TokenExperimentRow> rows = RunTokenExperiment(seeds);
+  std::ofstream(table_path) << FormatTokenTable(rows);
+  std::ofstream(plot_path) << DrawTokenPlot(rows);
+  for (const TokenExperimentRow& row : rows) {
+    if (row.sum.overspent > 0) return EXIT_FAILURE;
+  }
+  return EXIT_SUCCESS;
+}
+
 }  // namespace
 }  // namespace wisteriareel
 
 int main(int argc, char** argv) {
-  if (argc != 3) {
-    std::cerr << "usage: budget_experiment TABLE.md PLOT.svg\n";
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  int seeds = 0;
+  if (arguments.size() == 4 && arguments[0] == "--fleet" &&
+      absl::SimpleAtoi(arguments[1], &seeds) && seeds > 0) {
+    return wisteriareel::RunFleets(seeds, arguments[2], arguments[3]);
+  }
+  if (arguments.size() != 2) {
+    std::cerr << "usage: budget_experiment TABLE.md PLOT.svg\n"
+                 "       budget_experiment --fleet SEEDS TABLE.md PLOT.svg\n";
     return EXIT_FAILURE;
   }
-  return wisteriareel::Main(argv[1], argv[2]);
+  return wisteriareel::Main(arguments[0], arguments[1]);
 }
