--- a/include/wisteriareel/async_table.h
+++ b/include/wisteriareel/async_table.h
@@ -72,6 +72,9 @@
   // Local time at which the call was sent. The platform read its clock after
   // this time.
   absl::Time sent;
+  // Local time at which the reply arrived. The platform read its clock before
+  // this time.
+  absl::Time received;
 
   friend bool operator==(const TableContact&, const TableContact&) = default;
 };
@@ -126,6 +129,10 @@
   // none.
   virtual std::optional<TableContact> LastContact() const = 0;
 
+  // Returns the latest reading of the platform's clock by the reply to a
+  // commit, or nullopt if there was none. Commits may fail while reads succeed.
+  virtual std::optional<TableContact> LastCommitContact() const = 0;
+
   virtual void Commit(const PartitionTransaction& transaction,
                       CommitDone done) = 0;
 
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -28,6 +28,7 @@
   kTokensBorrowed = 1204,
   kTokensInherited = 1205,
   kTokensHandedOver = 1206,
+  kTokensRecalled = 1207,
   // 1300-1399 request.
   kClaimInDoubt = 1300,
   kClaimReleasePending = 1301,
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -29,6 +29,7 @@
 constexpr double kHeadTimeoutFactor = 2.5;
 constexpr double kPauseTimeoutFactor = 4;
 constexpr absl::Duration kMinIdleTimeout = absl::Milliseconds(300);
+constexpr std::string_view kAnswered = "answered";
 constexpr int kUrgencyPerCustomerPriority = 3;
 constexpr int kLeastUrgent = 9;
 
@@ -325,7 +326,7 @@
   }
   delegate_->FinishResponse();
   services_.counters->Add(Counter::kAnswersWhole, 1);
-  Finish("answered", Reason::kNone, now);
+  Finish(kAnswered, Reason::kNone, now);
 }
 
 void Exchange::OnBroken(absl::Time now) {
@@ -447,11 +448,15 @@
                   Tokens(events_sent_ * per_event));
 }
 
+bool Exchange::IsCompleteSuccess(std::string_view outcome) const {
+  return outcome == kAnswered && status_ >= 200 && status_ < 300;
+}
+
 void Exchange::Finish(std::string_view outcome, Reason reason, absl::Time now) {
   phase_ = Phase::kDone;
   if (reserved_) {
     services_.ledger->Settle(request_.customer, request_.info.MaxTokens(),
-                             UsedTokens());
+                             UsedTokens(), IsCompleteSuccess(outcome));
     services_.counters->Add(Counter::kTokensBilled,
                             static_cast<std::uint64_t>(UsedTokens().value()));
   }
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -12,75 +12,37 @@
 namespace wisteriareel {
 namespace {
 
-constexpr char kTable[] = "budgets";
-constexpr char kPoolRow[] = "pool";
 // Time constant of the average of demand.
 constexpr absl::Duration kDemandMemory = absl::Seconds(4);
-// A grant is requested when the held tokens fall below this share of the target
-// holding.
-constexpr double kRefillShare = 0.85;
-// A home instance without requests so far holds 1 / kIdleDivisor of a budget.
-constexpr int kIdleDivisor = 5;
-// Maximum share of the ungranted and held tokens that a home instance holds, in
-// percent. Instances that can't reach it can't use its tokens.
-constexpr int kMaxHeldPercent = 80;
-// Maximum share of the ungranted and held tokens that an instance authorizes
-// ahead of use, in percent. They are lost when the instance is killed.
-constexpr int kMaxAuthorizedPercent = 25;
-// Less than 1 / kMinReturnDivisor of a budget isn't worth a transaction that
-// returns it.
-constexpr int kMinReturnDivisor = 1000;
-// Settled tokens are reported at this interval, so that other instances can
-// tell an exhausted budget from one that is held elsewhere. The interval grows
-// with the number of instances.
-constexpr absl::Duration kMinReportInterval = absl::Seconds(2);
-constexpr absl::Duration kReportIntervalPerInstance = absl::Milliseconds(100);
-// Factor on the report interval of instances that only borrow, so that the
-// transactions of the home instance rarely conflict.
-constexpr int kBorrowerReportFactor = 2;
-// The first transactions of instances that start together are spread over this
-// time.
-constexpr absl::Duration kStartSpread = absl::Milliseconds(2500);
-// Transactions that conflict are retried after a random share of this time,
-// which doubles with each conflict. About the time of one table transaction.
-constexpr absl::Duration kConflictDelay = absl::Milliseconds(8);
-constexpr int kMaxConflictDoublings = 6;
-// Time after which an empty pool is read again.
-constexpr absl::Duration kEmptyPoolInterval = absl::Milliseconds(400);
-// Time since the last contact for which the platform counts as available.
-// Longer than the interval at which an instance polls the list of targets.
-constexpr absl::Duration kRecentContact = absl::Seconds(2);
-// A borrower returns the tokens that it doesn't expect to use in this time.
-constexpr absl::Duration kBorrowerHoldTime = absl::Seconds(1);
-// Tokens are authorized for this time in addition to `reserve_after`.
-constexpr absl::Duration kAuthorizedMargin = absl::Milliseconds(500);
-constexpr absl::Duration kFirstBackoff = absl::Milliseconds(150);
-constexpr absl::Duration kMaxBackoff = absl::Seconds(1);
-
-// Decodes the leading fields of a row as decimal numbers. Fields are separated
-// by blanks; names follow the numbers.
-template <typename... Numbers>
-bool DecodeNumbers(const std::vector<std::string>& fields,
-                   Numbers*... numbers) {
-  std::size_t n = 0;
-  return fields.size() >= sizeof...(numbers) &&
-         (absl::SimpleAtoi(fields[n++], numbers) && ...);
-}
+// Weight of a new request in the mean size of requests.
+constexpr double kMeanRequestWeight = 0.05;
+// The first transactions of instances that start together begin once they know
+// each other, and are spread over this time.
+constexpr absl::Duration kStartDelay = absl::Seconds(1);
+constexpr absl::Duration kStartSpread = absl::Seconds(2);
+// The tokens of previous incarnations are needed at once. The transactions that
+// read them are spread over a time that grows with the number of instances,
+// which may all have started again together.
+constexpr absl::Duration kMinInheritSpread = absl::Milliseconds(150);
+constexpr absl::Duration kInheritSpreadPerInstance = absl::Milliseconds(15);
+// A request waits if the limit will have grown enough within this time.
+constexpr absl::Duration kGrowthWait = absl::Milliseconds(300);
 
 }  // namespace
 
-PrepaidLedger::PrepaidLedger(PrepaidLedgerOptions options)
-    : options_(std::move(options)) {}
-
-PartitionRowKey PrepaidLedger::PoolKey(const CustomerId& id) {
-  return {.table = kTable, .partition = id.value(), .key = kPoolRow};
+std::int64_t PrepaidLedger::Holding::LimitAfter(absl::Duration gap) const {
+  const absl::Duration open = std::max(gap - delay, absl::ZeroDuration());
+  const double grown =
+      growth <= 0 ? 0
+                  : static_cast<double>(growth) * absl::ToDoubleSeconds(open);
+  const std::int64_t room = std::max<std::int64_t>(0, granted - authorized);
+  // Also covers an infinite gap.
+  if (grown >= static_cast<double>(room)) return granted;
+  return std::min(granted, authorized + static_cast<std::int64_t>(grown));
 }
 
-PartitionRowKey PrepaidLedger::HolderKey(const CustomerId& id) const {
-  return {.table = kTable,
-          .partition = id.value(),
-          .key = absl::StrCat("holder/", options_.instance)};
-}
+PrepaidLedger::PrepaidLedger(PrepaidLedgerOptions options)
+    : options_(std::move(options)) {}
 
 void PrepaidLedger::SetBudgets(const RouteConfig& config, absl::Time now) {
   for (auto& [id, account] : accounts_) account.prepaid = std::nullopt;
@@ -91,27 +53,43 @@
     account.prepaid = customer.prepaid;
     if (!changed) continue;
     account.pool_empty = false;
+    account.shortage = std::nullopt;
+    account.next_loan = absl::InfinitePast();
+    account.next_gathering = absl::InfinitePast();
     // All instances learn of a budget at the same time, but only those with
     // requests need tokens immediately.
-    account.next_transaction =
-        now + (added ? NextJitter() * kStartSpread : absl::ZeroDuration());
+    account.next_transaction = added ? FirstTransactionAt(now) : now;
   }
 }
 
+void PrepaidLedger::SetInheritedGap(absl::Duration gap, absl::Time now) {
+  inherited_gap_ = gap;
+  for (auto& [id, account] : accounts_) {
+    account.next_transaction = FirstTransactionAt(now);
+  }
+}
+
+absl::Time PrepaidLedger::FirstTransactionAt(absl::Time now) {
+  if (inherited_gap_ < absl::InfiniteDuration()) {
+    return now +
+           NextJitter() * std::max(kMinInheritSpread,
+                                   instances_ * kInheritSpreadPerInstance);
+  }
+  return now + kStartDelay + NextJitter() * kStartSpread;
+}
+
 double PrepaidLedger::NextJitter() {
   return static_cast<double>(StableHash(options_.incarnation, ++spreads_) >>
                              11) *
          0x1.0p-53;
 }
 
-absl::Duration PrepaidLedger::ReportInterval() const {
-  return std::max(kMinReportInterval, instances_ * kReportIntervalPerInstance);
-}
-
 void PrepaidLedger::SetInstances(int count) { instances_ = std::max(1, count); }
 
 void PrepaidLedger::RecordContact(absl::Time sent) {
   last_contact_ = std::max(last_contact_, sent);
+  // Other writes than transactions of budgets show that the platform is back.
+  if (failures_ > 0 && sent > failed_at_) RecordSuccess(sent);
 }
 
 std::int64_t PrepaidLedger::UsedAmount(const Account& account) {
@@ -133,12 +111,10 @@
 
 std::int64_t PrepaidLedger::UsageLimit(const Account& account,
                                        absl::Time now) const {
-  const bool reserve_usable = now - last_contact_ > options_.reserve_after;
-  const auto limit = [reserve_usable](const Holding& own) {
-    return reserve_usable ? own.granted : std::min(own.granted, own.authorized);
-  };
-  if (!account.pending.has_value()) return limit(account.own);
-  return std::min(limit(account.own), limit(account.pending->own));
+  const absl::Duration gap = now - last_contact_;
+  const std::int64_t limit = account.own.LimitAfter(gap);
+  if (!account.pending.has_value()) return limit;
+  return std::min(limit, account.pending->own.LimitAfter(gap));
 }
 
 std::int64_t PrepaidLedger::FreeAmount(const Account& account,
@@ -156,6 +132,14 @@
   account->recent_use += static_cast<double>(amount);
 }
 
+double PrepaidLedger::ReservationRate(const Account& account,
+                                      absl::Time now) const {
+  if (account.rate_at == absl::InfinitePast()) return 0;
+  return account.recent_use *
+         std::exp(-absl::FDivDuration(now - account.rate_at, kDemandMemory)) /
+         absl::ToDoubleSeconds(kDemandMemory);
+}
+
 ReserveResult PrepaidLedger::Reserve(const CustomerId& customer,
                                      Tokens max_tokens, absl::Time now) {
   Account& account = accounts_[customer];
@@ -164,302 +148,114 @@
   if (FreeAmount(account, now) >= amount) {
     account.reserved += amount;
     RecordUse(&account, amount, now);
+    const auto size = static_cast<double>(amount);
+    mean_request_ =
+        mean_request_ == 0
+            ? size
+            : mean_request_ + kMeanRequestWeight * (size - mean_request_);
     return ReserveResult::kReserved;
   }
-  if (account.pool_known) {
-    const std::int64_t prepaid = account.prepaid->value();
-    const std::int64_t unreported = account.settled - account.own.settled;
-    if (prepaid - account.pool.settled - unreported < amount) {
-      return ReserveResult::kExhausted;
-    }
-  }
+  if (IsExhausted(account, amount)) return ReserveResult::kExhausted;
+  const ReserveResult result = HandleShortfall(&account, amount, now);
+  if (result != ReserveResult::kWait) return result;
   account.wanted += amount;
   account.min_wanted =
       account.min_wanted == 0 ? amount : std::min(account.min_wanted, amount);
-  return HandleShortfall(&account, now);
+  account.waited_at = now;
+  return result;
 }
 
-std::int64_t PrepaidLedger::WantedFromPool(const Account& account) {
-  return account.is_home || account.transaction_allowed ? account.wanted : 0;
+bool PrepaidLedger::IsExhausted(const Account& account, std::int64_t amount) {
+  return account.pool_known && account.prepaid->value() -
+                                       account.pool.delivered -
+                                       account.unreported <
+                                   amount;
 }
 
-bool PrepaidLedger::CanTransact(const Account& account, absl::Time now) {
-  return !account.platform_unavailable &&
-         (!account.pool_empty || account.next_transaction <= now);
-}
-
-ReserveResult PrepaidLedger::HandleShortfall(Account* account, absl::Time now) {
+ReserveResult PrepaidLedger::HandleShortfall(Account* account,
+                                             std::int64_t amount,
+                                             absl::Time now) {
+  if (FreeAmount(*account, now + kGrowthWait) >= amount) {
+    return ReserveResult::kWait;
+  }
   const bool can_transact = CanTransact(*account, now);
-  if (account->is_home && can_transact) return ReserveResult::kWait;
+  const bool unavailable = IsPlatformUnavailable(*account);
+  if (IsHome(*account, now)) {
+    if (can_transact) return ReserveResult::kWait;
+    if (!unavailable) {
+      return GatherTokens(account, now) ? ReserveResult::kWait
+                                        : ReserveResult::kHeldElsewhere;
+    }
+  }
   if (account->loan_in_flight) return ReserveResult::kWait;
-  if (account->next_loan <= now) {
+  // The spare tokens of this instance are the last resort.
+  const bool lends_none = account->shortage.has_value() &&
+                          account->shortage != LoanAvailability::kSoon &&
+                          account->next_loan > now;
+  if (lends_none && can_transact &&
+      account->own.granted - UsedAmount(*account) >= amount) {
+    account->transaction_allowed = true;
+    return ReserveResult::kWait;
+  }
+  // A shortage of more tokens says nothing about a smaller request.
+  if (account->next_loan <= now ||
+      (account->shortage.has_value() && amount < account->shortage_amount)) {
     account->loan_wanted = true;
     return ReserveResult::kWait;
   }
-  if (account->shortage == LoanAvailability::kSoon) return ReserveResult::kWait;
-  if (account->shortage == LoanAvailability::kPoolEmpty) {
-    return ReserveResult::kHeldElsewhere;
+  switch (account->shortage.value_or(LoanAvailability::kNone)) {
+    case LoanAvailability::kSoon:
+      return ReserveResult::kWait;
+    case LoanAvailability::kPoolEmpty:
+      return ReserveResult::kHeldElsewhere;
+    case LoanAvailability::kExhausted:
+      return ReserveResult::kExhausted;
+    case LoanAvailability::kNone:
+      break;
   }
   if (can_transact) {
     account->transaction_allowed = true;
     return ReserveResult::kWait;
   }
-  return account->platform_unavailable ? ReserveResult::kPlatformUnavailable
-                                       : ReserveResult::kHeldElsewhere;
+  return unavailable ? ReserveResult::kPlatformUnavailable
+                     : ReserveResult::kHeldElsewhere;
 }
 
 void PrepaidLedger::Settle(const CustomerId& customer, Tokens max_tokens,
-                           Tokens used) {
+                           Tokens used, bool complete) {
   Account& account = accounts_[customer];
   // Nothing was reserved if the customer's budget was unlimited at that time.
   const std::int64_t reserved = std::min(account.reserved, max_tokens.value());
   if (reserved == 0) return;
+  const std::int64_t settled = std::min(used.value(), reserved);
   account.reserved -= reserved;
-  account.settled += std::min(used.value(), reserved);
-}
-
-double PrepaidLedger::ReservationRate(const Account& account,
-                                      absl::Time now) const {
-  if (account.rate_at == absl::InfinitePast()) return 0;
-  return account.recent_use *
-         std::exp(-absl::FDivDuration(now - account.rate_at, kDemandMemory)) /
-         absl::ToDoubleSeconds(kDemandMemory);
+  account.settled += settled;
+  if (complete) account.unreported += settled;
 }
 
-std::int64_t PrepaidLedger::TargetHolding(const Account& account,
-                                          absl::Time now) const {
-  if (returning_tokens_ || !account.is_home) return 0;
-  const std::int64_t prepaid = account.prepaid->value();
-  const std::int64_t available = prepaid - account.pool.granted;
-  const double by_rate =
-      ReservationRate(account, now) * absl::ToDoubleSeconds(options_.horizon);
-  const std::int64_t target =
-      std::max(static_cast<std::int64_t>(by_rate), prepaid / kIdleDivisor);
-  // Held tokens count too; otherwise a grant would lower the target that it
-  // fills.
-  const std::int64_t held =
-      std::max<std::int64_t>(0, account.own.granted - UsedAmount(account));
-  const std::int64_t max_holding =
-      (std::max<std::int64_t>(0, available) + held) * kMaxHeldPercent / 100;
-  return std::clamp<std::int64_t>(target, 0, max_holding);
-}
-
-std::int64_t PrepaidLedger::AuthorizationAhead(const Account& account,
-                                               absl::Time now) const {
-  if (returning_tokens_) return 0;
-  const absl::Duration time = options_.reserve_after + kAuthorizedMargin;
-  const double by_rate =
-      ReservationRate(account, now) * absl::ToDoubleSeconds(time);
-  // A home instance without requests so far authorizes its idle holding in
-  // proportion to the time.
-  const bool unused = account.rate_at == absl::InfinitePast();
-  const double idle = account.is_home && unused
-                          ? static_cast<double>(account.prepaid->value()) /
-                                kIdleDivisor *
-                                absl::FDivDuration(time, options_.horizon)
-                          : 0;
-  const std::int64_t left = std::max<std::int64_t>(
-      0, account.prepaid->value() - account.pool.granted + account.own.granted -
-             UsedAmount(account));
-  return std::min(static_cast<std::int64_t>(std::max(by_rate, idle)),
-                  left * kMaxAuthorizedPercent / 100);
-}
-
-std::int64_t PrepaidLedger::PlanGrant(const Account& account,
-                                      absl::Time now) const {
-  if (returning_tokens_) return 0;
-  const std::int64_t available =
-      account.prepaid->value() - account.pool.granted;
-  const std::int64_t held = account.own.granted - UsedAmount(account);
-  const std::int64_t target = TargetHolding(account, now);
-  std::int64_t grant = 0;
-  if (static_cast<double>(held) < kRefillShare * static_cast<double>(target)) {
-    grant = target - held;
-  }
-  const std::int64_t wanted = WantedFromPool(account);
-  if (wanted > held) {
-    grant = std::max(grant, wanted - held + target / 2);
-  }
-  grant = std::min(grant, available);
-  // A grant that doesn't cover the smallest waiting request is useless.
-  if (held + grant < account.min_wanted) return 0;
-  return std::max<std::int64_t>(0, grant);
-}
-
-std::int64_t PrepaidLedger::PlanReturn(const Account& account,
-                                       absl::Time now) const {
-  // Tokens of a return in doubt can't be used by any instance. While the
-  // platform is unavailable, this or another instance can still use the held
-  // tokens.
-  if (now - last_contact_ > kRecentContact) return 0;
-  const std::int64_t held = account.own.granted - UsedAmount(account);
-  if (returning_tokens_) return std::max<std::int64_t>(0, held);
-  if (WantedFromPool(account) > 0) return 0;
-  const std::int64_t target =
-      account.is_home
-          ? TargetHolding(account, now)
-          : static_cast<std::int64_t>(ReservationRate(account, now) *
-                                      absl::ToDoubleSeconds(kBorrowerHoldTime));
-  const std::int64_t spare = held - target;
-  const std::int64_t min_return = account.prepaid->value() / kMinReturnDivisor;
-  return spare > std::max(target, min_return) ? spare : 0;
-}
-
-std::optional<PrepaidLedger::PendingTransaction> PrepaidLedger::PlanTransaction(
-    const CustomerId& id, const Account& account, absl::Time now) const {
-  const std::int64_t grant = PlanGrant(account, now);
-  const std::int64_t return_amount = grant > 0 ? 0 : PlanReturn(account, now);
-  const std::int64_t report = account.settled - account.own.settled;
-  const bool report_due =
-      report > 0 &&
-      (returning_tokens_ ||
-       account.next_transaction +
-               ReportInterval() *
-                   (account.is_home ? 1 : kBorrowerReportFactor) <=
-           now);
-  const std::int64_t used = UsedAmount(account);
-  PendingTransaction pending;
-  pending.own = {.granted = account.own.granted + grant - return_amount,
-                 .settled = account.settled};
-  const std::int64_t ahead = AuthorizationAhead(account, now);
-  const std::int64_t wanted = WantedFromPool(account);
-  pending.own.authorized =
-      std::max(used, std::min(pending.own.granted, used + wanted + ahead));
-  const std::int64_t authorized_free = account.own.authorized - used;
-  const bool authorize =
-      authorized_free < 0 ||
-      (pending.own.authorized > account.own.authorized &&
-       (wanted > authorized_free || authorized_free < ahead / 2));
-  // If the pool seems too small for a waiting request, a transaction without
-  // changes reads it again: it conflicts if the pool has changed.
-  const bool recheck_pool = wanted > account.own.granted - used;
-  if (grant == 0 && return_amount == 0 && !report_due && !authorize &&
-      !recheck_pool) {
-    return std::nullopt;
-  }
-  pending.pool = {.granted = account.pool.granted + grant - return_amount,
-                  .settled = account.pool.settled + report};
-  pending.transaction.conditions = {
-      {.key = PoolKey(id), .version = account.pool_version},
-      {.key = HolderKey(id), .version = account.own_version}};
-  pending.transaction.writes = {
-      {.key = PoolKey(id),
-       .value = absl::StrCat(pending.pool.granted, " ", pending.pool.settled)},
-      {.key = HolderKey(id),
-       .value =
-           absl::StrCat(pending.own.granted, " ", pending.own.settled, " ",
-                        pending.own.authorized, " ", options_.incarnation)}};
-  return pending;
-}
-
-std::vector<LedgerTransaction> PrepaidLedger::TakeTransactions(absl::Time now) {
-  std::vector<LedgerTransaction> transactions;
+std::vector<CustomerId> PrepaidLedger::CustomersToRetry(absl::Time now) {
+  std::vector<CustomerId> customers;
+  if (now - last_contact_ <= LimitDelay(/*is_home=*/true)) return customers;
   for (auto& [id, account] : accounts_) {
-    if (!account.prepaid.has_value() || account.in_flight) continue;
-    // A waiting request bypasses the spreading of the first transactions.
-    const bool urgent = WantedFromPool(account) > 0 && !account.pool_known;
-    if (account.next_transaction > now && !urgent) continue;
-    if (!account.pending.has_value())
-      account.pending = PlanTransaction(id, account, now);
-    if (!account.pending.has_value()) continue;
-    account.in_flight = true;
-    transactions.push_back(
-        {.customer = id, .transaction = account.pending->transaction});
-  }
-  return transactions;
-}
-
-void PrepaidLedger::InheritUse(Account* account) {
-  Holding& own = account->own;
-  const std::int64_t base = inherited_use_ == InheritedUse::kAuthorized
-                                ? std::min(own.authorized, own.granted)
-                                : own.granted;
-  account->settled += own.settled;
-  account->written_off += base - own.settled;
-}
-
-void PrepaidLedger::ApplyRows(Account* account,
-                              const std::vector<PartitionRow>& rows) {
-  account->pool = {};
-  account->pool_version = 0;
-  account->own = {};
-  account->own_version = 0;
-  for (const PartitionRow& row : rows) {
-    const std::vector<std::string> fields = absl::StrSplit(row.value, ' ');
-    if (row.key.key == kPoolRow) {
-      account->pool_version = row.version;
-      if (!DecodeNumbers(fields, &account->pool.granted,
-                         &account->pool.settled)) {
-        // A pool row that can't be decoded grants nothing.
-        account->pool.granted = INT64_MAX / 2;
-      }
-      continue;
-    }
-    account->own_version = row.version;
-    Holding& own = account->own;
-    if (!DecodeNumbers(fields, &own.granted, &own.settled, &own.authorized)) {
-      own = {};
-    }
-    if (!account->inherited && fields.back() != options_.incarnation) {
-      InheritUse(account);
-    }
+    if (now - account.waited_at > 2 * kGrowthWait) continue;
+    if (FreeAmount(account, now) <= 0) continue;
+    customers.push_back(id);
   }
-  account->pool_known = true;
-  // The row of an earlier incarnation is inherited only once.
-  account->inherited = true;
+  return customers;
 }
 
-void PrepaidLedger::CompleteTransaction(const CustomerId& customer,
-                                        const CommitReply& reply,
-                                        absl::Time now) {
-  Account& account = accounts_[customer];
-  account.in_flight = false;
-  if (!account.pending.has_value()) return;
-  if (reply.outcome == CommitOutcome::kRejected ||
-      reply.outcome == CommitOutcome::kUnknown) {
-    account.platform_unavailable = true;
-    account.backoff =
-        std::clamp(account.backoff * 2, kFirstBackoff, kMaxBackoff);
-    account.next_transaction = now + account.backoff * (0.5 + NextJitter());
-    return;
-  }
-  account.platform_unavailable = false;
-  account.backoff = absl::ZeroDuration();
-  if (reply.outcome == CommitOutcome::kCommitted) {
-    account.pool = account.pending->pool;
-    account.own = account.pending->own;
-    account.pool_version = reply.version;
-    account.own_version = reply.version;
-    account.pool_known = true;
-    account.inherited = true;
-    account.conflicts = 0;
-  } else {
-    ApplyRows(&account, reply.current);
-    account.conflicts = std::min(account.conflicts + 1, kMaxConflictDoublings);
-  }
-  account.pending.reset();
-  account.transaction_allowed = false;
-  account.next_transaction = now;
-  if (account.conflicts > 1) {
-    account.next_transaction +=
-        NextJitter() * kConflictDelay * (1 << account.conflicts);
-  }
-  const std::int64_t available =
-      account.prepaid.value_or(Tokens(0)).value() - account.pool.granted;
-  account.pool_empty =
-      account.min_wanted - (account.own.granted - UsedAmount(account)) >
-      available;
-  if (account.pool_empty) account.next_transaction = now + kEmptyPoolInterval;
-  account.wanted = 0;
-  account.min_wanted = 0;
+void PrepaidLedger::ForgetWaitingRequests(const CustomerId& customer) {
+  const auto it = accounts_.find(customer);
+  if (it == accounts_.end()) return;
+  it->second.wanted = 0;
+  it->second.min_wanted = 0;
 }
 
 bool PrepaidLedger::IsSettled() const {
   for (const auto& [id, account] : accounts_) {
     if (!account.prepaid.has_value()) continue;
     if (account.pending.has_value() || account.reserved > 0) return false;
-    if (account.own.granted > UsedAmount(account) ||
-        account.settled > account.own.settled) {
+    if (account.own.granted > UsedAmount(account) || account.unreported > 0) {
       return false;
     }
   }
@@ -478,11 +274,13 @@
   const auto it = accounts_.find(customer);
   if (it == accounts_.end()) return {};
   const Account& account = it->second;
-  return {.prepaid = account.prepaid.value_or(Tokens(0)),
-          .granted = Tokens(account.pool.granted),
-          .settled = Tokens(account.pool.settled),
-          .held_here = Tokens(account.own.granted - UsedAmount(account)),
-          .reserved_here = Tokens(account.reserved)};
+  return {
+      .prepaid = account.prepaid.value_or(Tokens(0)),
+      .granted = Tokens(account.pool.granted),
+      .delivered = Tokens(account.pool.delivered),
+      .held_here = Tokens(account.own.granted - UsedAmount(account)),
+      .authorized_here = Tokens(account.own.authorized - UsedAmount(account)),
+      .reserved_here = Tokens(account.reserved)};
 }
 
 }  // namespace wisteriareel
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAREEL_SRC_FORWARD_PREPAID_LEDGER_H_
 #define WISTERIAREEL_SRC_FORWARD_PREPAID_LEDGER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -34,31 +35,40 @@
   std::string instance;
   // Id of this incarnation of the instance; never reused.
   std::string incarnation;
-  // Time for which the held tokens should last without the platform. Outages of
-  // the platform last up to nine seconds by its specification, and two may
-  // occur in a row.
+  // Time for which the tokens of a home instance should last without the
+  // platform. Outages of the platform last up to nine seconds by its
+  // specification, and two may occur in a row.
   absl::Duration horizon = absl::Seconds(12);
-  // Time without contact to the platform after which the reserve may be used.
-  // Longer than a restart takes, so that the next incarnation can prove that
-  // the reserve was not used.
-  absl::Duration reserve_after = absl::Seconds(3);
+  // Time for which the tokens of each other instance should last while it
+  // reaches neither the platform nor other instances.
+  absl::Duration isolation_horizon = absl::Seconds(9);
 };
 
-// What an instance's previous incarnation may have used of the tokens that it
-// held.
-enum class InheritedUse : std::uint8_t {
-  // At most the authorized tokens: the reserve can't have been used.
-  kAuthorized,
-  // All tokens that it held, the reserve included.
-  kAll,
+// Why tokens are requested from another instance.
+enum class LoanKind : std::uint8_t {
+  // Requests wait for them.
+  kNeeded,
+  // The same, but the home instance doesn't respond: the lender takes its place
+  // for a while.
+  kNeededFromDeputy,
+  // The borrower wants to hold them for when it is cut off.
+  kSpare,
+  // The home instance has none left: the lender returns its spare tokens.
+  kReturn,
 };
 
-// A request to other instances to lend tokens.
+// A request to another instance to lend tokens.
 struct LoanRequest {
   CustomerId customer;
   Tokens amount;
   // A smaller loan covers no waiting request.
   Tokens min_amount;
+  // Tokens that the borrower holds already; stated for spare tokens.
+  Tokens held;
+  // Consumed by complete responses of the borrower and not yet reported to the
+  // platform. The lender reports them.
+  Tokens delivered;
+  LoanKind kind = LoanKind::kNeeded;
   // The platform can't grant the tokens. Any instance may lend any amount.
   bool from_any_instance = false;
 
@@ -67,10 +77,13 @@
 
 // What a borrower can expect from a lender that can't lend enough now.
 enum class LoanAvailability : std::uint8_t {
-  // The lender has requested more from the platform and will have it shortly.
+  // The lender has requested more from the platform or from other instances and
+  // will have it shortly.
   kSoon,
-  // The platform has no tokens left to grant.
+  // The platform has no tokens left to grant, and no instance returned any.
   kPoolEmpty,
+  // Complete responses consumed so much that the request can't be covered.
+  kExhausted,
   // The lender can't reach the platform or isn't the customer's home instance.
   kNone,
 };
@@ -101,43 +114,56 @@
 // The prepaid tokens that this instance holds for each customer.
 //
 // Each customer has a partition of the platform's table with one pool row,
-// which holds the sums of the granted and settled tokens, and one row per
+// which holds the sums of the granted and delivered tokens, and one row per
 // instance. A grant updates both rows in one transaction, so that over all
-// instances, dead or alive, settled plus held tokens never exceed the prepaid
+// instances, dead or alive, used plus held tokens never exceed the prepaid
 // amount. A transaction whose reply was lost is sent again unchanged: its
 // conditions let it take effect at most once, and the conflict that follows
 // returns the current rows. Until then the smaller of the limits before and
 // after the transaction holds.
 //
-// Only the authorized part of the granted tokens may be used. The rest is a
-// reserve for outages, which may be used once the platform hasn't responded for
-// `reserve_after`.
+// Only the authorized part of the granted tokens may be used while the platform
+// acknowledges writes. Once it hasn't for `delay`, the limit grows at a rate
+// that the row states too. The next incarnation of an instance inherits its
+// row. It knows how long its predecessor can have lived after its last contact,
+// so it knows the limit that held then, and regains all tokens beyond it.
 //
 // The home instance of a customer draws the customer's tokens from the platform
 // ahead of need and lends them to the other instances, so that the pool row
 // usually has a single writer. Tokens that the others request and the home
-// instance doesn't hold yet become part of its next transaction. The others
-// start transactions of their own only if the home instance can't help. This
+// instance doesn't hold yet become part of its next transaction. If the home
+// instance doesn't respond, the next one in rank acts as its deputy. This
 // matters when a customer's tokens run short at many instances at once, whose
 // transactions would conflict with each other and with those of the home
 // instance.
 //
-// The next incarnation of an instance inherits its row. If it can prove that
-// its predecessor ended before `reserve_after` had passed, it regains the
-// reserve; otherwise all granted tokens count as used.
+// Each of the other instances borrows a spare amount, which it records in its
+// row and doesn't use while it can borrow. It becomes usable when the instance
+// is cut off. When a customer's pool is empty, the home instance asks for the
+// return of these amounts.
 //
 // Not thread-safe. Opens no connections.
 class PrepaidLedger {
  public:
+  // Table of the rows. A customer's partition has its id as its name.
+  static constexpr char kTable[] = "budgets";
+
   explicit PrepaidLedger(PrepaidLedgerOptions options);
 
-  // Sets what the previous incarnation may have used. Must be called before the
+  // Sets the longest time that the previous incarnation can have run after its
+  // last recorded contact. Infinite until this call. Must be called before the
   // first transaction.
-  void SetInheritedUse(InheritedUse use) { inherited_use_ = use; }
+  void SetInheritedGap(absl::Duration gap, absl::Time now);
 
-  // Records that the platform responded to a call that was sent at `sent`.
+  // Records that the platform acknowledged a write that was sent at `sent`.
   void RecordContact(absl::Time sent);
 
+  // Records that a later incarnation may learn that this one was within the
+  // authorized amounts at `time`. Must be called before the time is reported.
+  void RecordReportedTime(absl::Time time) {
+    last_contact_ = std::max(last_contact_, time);
+  }
+
   // Returns true if the used tokens don't exceed the amount authorized in the
   // table. Only then may contacts up to now be recorded for a later
   // incarnation.
@@ -156,8 +182,11 @@
   ReserveResult Reserve(const CustomerId& customer, Tokens max_tokens,
                         absl::Time now);
 
-  // Ends a reservation of `max_tokens`, of which `used` were consumed.
-  void Settle(const CustomerId& customer, Tokens max_tokens, Tokens used);
+  // Ends a reservation of `max_tokens`, of which at most `used` were consumed.
+  // `complete` tells whether the caller got the complete response, so that they
+  // certainly were.
+  void Settle(const CustomerId& customer, Tokens max_tokens, Tokens used,
+              bool complete);
 
   // Returns the transactions that are due. Each must be followed by a call of
   // CompleteTransaction.
@@ -186,20 +215,21 @@
   struct Summary {
     Tokens prepaid;
     Tokens granted;
-    Tokens settled;
+    Tokens delivered;
     Tokens held_here;
+    // The part of `held_here` that may be used while the platform is available.
+    Tokens authorized_here;
     Tokens reserved_here;
 
     friend bool operator==(const Summary&, const Summary&) = default;
   };
   Summary GetSummary(const CustomerId& customer) const;
 
-  // Removes up to `wanted` tokens for another instance, or none if fewer than
-  // `min_amount` are free. A home instance that can get more tokens requests
-  // them with its next transaction. Tokens of a loan whose response is lost are
-  // not used by either instance.
-  Loan Lend(const CustomerId& customer, Tokens wanted, Tokens min_amount,
-            absl::Time now);
+  // Removes up to the requested tokens for another instance, or none if fewer
+  // than the minimum are free. A home instance that can get more tokens
+  // requests them with its next transaction. Tokens of a loan whose response is
+  // lost are not used by either instance.
+  Loan Lend(const LoanRequest& request, absl::Time now);
 
   // Returns the loans to request. Each must be followed by any number of calls
   // of Borrow and one call of CompleteLoan.
@@ -215,24 +245,60 @@
       const CustomerId& customer, std::optional<LoanAvailability> shortage,
       absl::Time now);
 
+  // Returns the customers whose pool is empty while requests wait for tokens
+  // that other instances may hold. Each must be followed by one call of
+  // CompleteGathering.
+  std::vector<CustomerId> TakeGatherings(absl::Time now);
+
+  // Returns the instances that should return tokens of `customer`, those with
+  // the most first. `rows` are the customer's rows; nullopt if they couldn't be
+  // read.
+  std::vector<std::string> CompleteGathering(
+      const CustomerId& customer,
+      const std::optional<std::vector<PartitionRow>>& rows, absl::Time now);
+
+  // Forgets the waiting requests of `customer`, which are about to call Reserve
+  // again.
+  void ForgetWaitingRequests(const CustomerId& customer);
+
+  // Returns the customers whose waiting requests may be covered now because the
+  // limit has grown since they began to wait.
+  std::vector<CustomerId> CustomersToRetry(absl::Time now);
+
  private:
   struct Pool {
     std::int64_t granted = 0;
-    std::int64_t settled = 0;
+    // Consumed by complete responses, as far as reported.
+    std::int64_t delivered = 0;
+
+    friend bool operator==(const Pool&, const Pool&) = default;
   };
   // This instance's row.
   struct Holding {
     std::int64_t granted = 0;
     std::int64_t settled = 0;
-    // Cumulative limit on the settled, reserved, lent and written-off tokens.
+    // Cumulative limit on the settled, reserved, lent and written-off tokens
+    // while the platform acknowledges writes.
     std::int64_t authorized = 0;
+    // Growth of the limit, in tokens per second, from `delay` after the last
+    // contact.
+    std::int64_t growth = 0;
+    absl::Duration delay;
+
+    // Returns the limit `gap` after the last contact.
+    std::int64_t LimitAfter(absl::Duration gap) const;
+
+    friend bool operator==(const Holding&, const Holding&) = default;
   };
   // A transaction that was planned and has no definite reply, with the rows
   // that it writes.
   struct PendingTransaction {
     PartitionTransaction transaction;
-    Pool pool;
+    // Unset if the transaction concerns only this instance's row.
+    std::optional<Pool> pool;
     Holding own;
+    // Delivered tokens that `pool` reports.
+    std::int64_t reported = 0;
   };
   struct Account {
     std::optional<Tokens> prepaid;
@@ -242,8 +308,11 @@
     bool pool_known = false;
     Holding own;
     std::uint64_t own_version = 0;
-    // Settled by this instance, including tokens not yet reported.
+    // Settled by this instance.
     std::int64_t settled = 0;
+    // Consumed by complete responses, of this instance and of its borrowers,
+    // and not reported yet.
+    std::int64_t unreported = 0;
     std::int64_t reserved = 0;
     // Lent to others (positive) or borrowed from them (negative).
     std::int64_t lent = 0;
@@ -252,6 +321,8 @@
     // Maximum tokens of the waiting requests: their sum and the smallest one.
     std::int64_t wanted = 0;
     std::int64_t min_wanted = 0;
+    // Last time that a request was told to wait.
+    absl::Time waited_at = absl::InfinitePast();
     // Decayed sum of reservations, as of `rate_at`.
     double recent_use = 0;
     absl::Time rate_at = absl::InfinitePast();
@@ -259,14 +330,39 @@
     // Conflicts in a row.
     int conflicts = 0;
     bool in_flight = false;
+    // Time at which the transaction in flight was sent.
+    absl::Time sent_at;
     absl::Time next_transaction = absl::InfinitePast();
+    // Last time that the pool row was written.
+    absl::Time reported_at = absl::InfinitePast();
     absl::Duration backoff;
     // The row of an earlier incarnation was inherited, or there was none.
     bool inherited = false;
     bool platform_unavailable = false;
     // The pool was found too small for the waiting requests.
     bool pool_empty = false;
-    bool is_home = true;
+    bool is_home = false;
+    // This instance takes the place of the home instance until then.
+    absl::Time deputy_until = absl::InfinitePast();
+    // Until then all tokens held here are authorized, because another instance
+    // requested their return.
+    absl::Time returning_until = absl::InfinitePast();
+    // Other instances are asked to return tokens: wanted, in progress, and the
+    // time before which they aren't asked again.
+    bool gathering_wanted = false;
+    bool gathering = false;
+    absl::Time next_gathering = absl::InfinitePast();
+    // Before this time returned tokens may still arrive in the pool.
+    absl::Time gathered_until = absl::InfinitePast();
+    // Tokens that this instance borrowed to hold them, as far as it still does.
+    std::int64_t spare = 0;
+    // No spare tokens are requested before this time; unset until the number of
+    // instances is known.
+    std::optional<absl::Time> next_spare_loan;
+    // The loan in flight is for spare tokens.
+    bool spare_loan = false;
+    // Factor on the time to the next request for spare tokens.
+    int spare_backoff = 1;
     // The home instance couldn't help: this one may request the tokens of
     // waiting requests from the platform.
     bool transaction_allowed = false;
@@ -274,35 +370,64 @@
     bool loan_in_flight = false;
     // Result of the last loan request; unset if enough was lent.
     std::optional<LoanAvailability> shortage;
+    // Smallest amount that the last loan request was for.
+    std::int64_t shortage_amount = 0;
     // No loans are requested before this time, since the last ones didn't
     // suffice.
     absl::Time next_loan = absl::InfinitePast();
   };
 
+  absl::Time FirstTransactionAt(absl::Time now);
   static std::int64_t UsedAmount(const Account& account);
   std::int64_t UsageLimit(const Account& account, absl::Time now) const;
   std::int64_t FreeAmount(const Account& account, absl::Time now) const;
   // Returns the recent rate of reservations in tokens per second.
   double ReservationRate(const Account& account, absl::Time now) const;
+  bool IsHome(const Account& account, absl::Time now) const;
   std::int64_t TargetHolding(const Account& account, absl::Time now) const;
+  // Returns the spare tokens that are still held.
+  static std::int64_t HeldSpare(const Account& account);
+  // Returns the spare tokens that an instance other than the home instance
+  // wants to hold.
+  std::int64_t TargetSpare(const Account& account, absl::Time now) const;
+  // Returns the most that a home instance lends as spare tokens.
+  std::int64_t MaxSpareLoan(const Account& account) const;
+  bool WantsSpareLoan(Account* account, absl::Time now);
   // Returns the tokens to authorize beyond those in use.
   std::int64_t AuthorizationAhead(const Account& account, absl::Time now) const;
+  std::int64_t LimitGrowth(const Account& account, absl::Time now) const;
+  absl::Duration LimitDelay(bool is_home) const;
   void RecordUse(Account* account, std::int64_t amount, absl::Time now);
   std::optional<PendingTransaction> PlanTransaction(const CustomerId& id,
                                                     const Account& account,
                                                     absl::Time now) const;
   std::int64_t PlanGrant(const Account& account, absl::Time now) const;
-  ReserveResult HandleShortfall(Account* account, absl::Time now);
-  static bool CanTransact(const Account& account, absl::Time now);
+  ReserveResult HandleShortfall(Account* account, std::int64_t amount,
+                                absl::Time now);
+  bool CanTransact(const Account& account, absl::Time now) const;
+  bool IsPlatformUnavailable(const Account& account) const;
+  // Returns true if complete responses left less than `amount`.
+  static bool IsExhausted(const Account& account, std::int64_t amount);
   // Returns the tokens of waiting requests that the platform, not another
   // instance, is to provide.
-  static std::int64_t WantedFromPool(const Account& account);
+  std::int64_t WantedFromPool(const Account& account, absl::Time now) const;
+  // Returns true if other instances are asked to return tokens, or were a
+  // moment ago.
+  static bool GatherTokens(Account* account, absl::Time now);
+  // Plans to return the tokens held here to another instance.
+  Loan AuthorizeReturn(Account* account, absl::Time now);
+  void RecordFailure(Account* account, absl::Time now);
+  void RecordSuccess(absl::Time now);
+  absl::Duration SpareInterval() const;
+  std::string EncodeHolding(const Holding& holding) const;
+  static std::optional<Holding> DecodeHolding(const std::string& text);
   std::int64_t PlanReturn(const Account& account, absl::Time now) const;
   // Returns a number in [0, 1) that differs between calls and between
   // instances, so that instances don't act at the same time.
   double NextJitter();
-  absl::Duration ReportInterval() const;
-  void ApplyRows(Account* account, const std::vector<PartitionRow>& rows);
+  // Applies the rows of a conflict with `transaction`.
+  void ApplyRows(Account* account, const PartitionTransaction& transaction,
+                 const std::vector<PartitionRow>& rows);
   void InheritUse(Account* account);
   static PartitionRowKey PoolKey(const CustomerId& id);
   PartitionRowKey HolderKey(const CustomerId& id) const;
@@ -311,7 +436,18 @@
   int instances_ = 1;
   std::uint64_t spreads_ = 0;
   bool returning_tokens_ = false;
-  InheritedUse inherited_use_ = InheritedUse::kAll;
+  absl::Duration inherited_gap_ = absl::InfiniteDuration();
+  // Transactions in a row, of any customers, that the platform didn't perform
+  // or didn't respond to.
+  int failures_ = 0;
+  absl::Time failed_at_ = absl::InfinitePast();
+  // While there are failures, one transaction at a time is sent, not before
+  // this time.
+  absl::Time next_probe_ = absl::InfinitePast();
+  // Moving average of the time that the platform takes for a transaction.
+  absl::Duration commit_time_;
+  // Mean of the tokens that requests reserve; 0 until the first one.
+  double mean_request_ = 0;
   absl::Time last_contact_ = absl::InfinitePast();
   std::map<CustomerId, Account> accounts_;
 };
--- a/src/router/instance_registry.cc
+++ b/src/router/instance_registry.cc
@@ -76,6 +76,8 @@
                  if (last.has_value()) heartbeat_.number = last->number;
                  ApplyRows(rows->rows);
                  WriteHeartbeat();
+                 scheduler_->After(options_.first_listing_delay,
+                                   [this] { ListInstances(); });
                });
 }
 
@@ -91,7 +93,13 @@
       .writes = {{.key = RowOf(options_.self.value()),
                   .value = EncodeInstanceHeartbeat(heartbeat_)}}};
   // A failed write isn't retried, since the next heartbeat follows.
-  table_->Commit(transaction, [](const CommitReply&) {});
+  table_->Commit(transaction, [this](const CommitReply& reply) {
+    if (reply.outcome != CommitOutcome::kCommitted) {
+      acknowledged_since_ = absl::InfiniteFuture();
+    } else if (acknowledged_since_ == absl::InfiniteFuture()) {
+      acknowledged_since_ = scheduler_->Now();
+    }
+  });
   if (scheduler_->Now() - listed_at_ >= options_.listing_interval)
     ListInstances();
 }
@@ -169,20 +177,36 @@
 }
 
 std::optional<Endpoint> InstanceRegistry::FindHomeInstance(
-    const std::string& key) const {
+    const std::string& key,
+    const std::function<bool(const Endpoint&)>& is_usable) const {
   const std::uint64_t seed = StableHash(key);
   std::uint64_t best = StableHash(options_.self.value(), seed);
   std::optional<Endpoint> home;
+  // All heartbeats need a while to change again after the platform took none.
+  const bool writable =
+      read_at_ - acknowledged_since_ > options_.home_timeout / 2;
   for (const auto& [name, member] : members_) {
-    if (read_at_ - member.changed_at > options_.home_timeout) continue;
+    if (name == options_.self.value()) continue;
+    if (writable && read_at_ - member.changed_at > options_.home_timeout) {
+      continue;
+    }
     const std::uint64_t rank = StableHash(name, seed);
-    if (rank <= best) continue;
+    if (rank <= best || !is_usable(member.address)) continue;
     best = rank;
     home = member.address;
   }
   return home;
 }
 
+std::optional<Endpoint> InstanceRegistry::FindAddress(
+    const std::string& name) const {
+  const auto it = members_.find(name);
+  if (it == members_.end() || name == options_.self.value()) {
+    return std::nullopt;
+  }
+  return it->second.address;
+}
+
 void InstanceRegistry::Leave() {
   leaving_ = true;
   table_->Commit({.writes = {{.key = RowOf(options_.self.value())}}},
--- a/src/router/instance_registry.h
+++ b/src/router/instance_registry.h
@@ -2,6 +2,7 @@
 #define WISTERIAREEL_SRC_ROUTER_INSTANCE_REGISTRY_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,8 +33,11 @@
   // all of them together would exceed the retry limit.
   absl::Duration alive_timeout = absl::Seconds(15);
   // An instance whose heartbeat doesn't change for this long is no home
-  // instance. Doesn't apply while the heartbeats can't be read.
+  // instance. Doesn't apply while the heartbeats can't be read or written.
   absl::Duration home_timeout = absl::Seconds(5);
+  // Time after the first heartbeat of this instance at which those of others
+  // that started with it are read.
+  absl::Duration first_listing_delay = absl::Milliseconds(600);
   // Heartbeat rows that don't change for this long are deleted.
   absl::Duration removal_timeout = absl::Minutes(5);
   // Minimum count after the start, since instances that start at the same time
@@ -96,9 +100,14 @@
   std::vector<Endpoint> RankInstances(const std::string& key) const;
 
   // Returns the address of the home instance of `key`, which has the highest
-  // rendezvous rank, or nullopt if that is this instance. Instances that know
-  // the same instances agree.
-  std::optional<Endpoint> FindHomeInstance(const std::string& key) const;
+  // rendezvous rank of those that `is_usable` accepts, or nullopt if that is
+  // this instance. Instances that know the same instances agree.
+  std::optional<Endpoint> FindHomeInstance(
+      const std::string& key,
+      const std::function<bool(const Endpoint&)>& is_usable) const;
+
+  // Returns the address of another instance, or nullopt if it isn't listed.
+  std::optional<Endpoint> FindAddress(const std::string& name) const;
 
  private:
   struct Member {
@@ -125,6 +134,9 @@
   // one.
   absl::Time listed_at_ = absl::InfinitePast();
   absl::Time read_at_ = absl::InfinitePast();
+  // Time since which all heartbeats were acknowledged. While the platform takes
+  // no writes, the heartbeats of others don't change either.
+  absl::Time acknowledged_since_ = absl::InfiniteFuture();
   std::map<std::string, Member> members_;
 };
 
--- a/src/router/ledger_transaction_sender.cc
+++ b/src/router/ledger_transaction_sender.cc
@@ -7,10 +7,6 @@
 namespace wisteriareel {
 namespace {
 
-// Time between two checks for due refills and reports. Waiting requests trigger
-// a check at once.
-constexpr absl::Duration kSendInterval = absl::Milliseconds(100);
-
 std::string OutcomeName(CommitOutcome outcome) {
   switch (outcome) {
     case CommitOutcome::kCommitted:
@@ -38,16 +34,11 @@
 
 void LedgerTransactionSender::Start() {
   started_ = true;
-  SendPeriodically();
-}
-
-void LedgerTransactionSender::SendPeriodically() {
   SendDueTransactions();
-  scheduler_->After(kSendInterval, [this] { SendPeriodically(); });
 }
 
 void LedgerTransactionSender::SendDueTransactions() {
-  const std::optional<TableContact> contact = table_->LastContact();
+  const std::optional<TableContact> contact = table_->LastCommitContact();
   if (contact.has_value()) ledger_->RecordContact(contact->sent);
   if (!started_) return;
   for (LedgerTransaction& entry :
@@ -61,20 +52,24 @@
 
 void LedgerTransactionSender::Complete(const CustomerId& customer,
                                        const CommitReply& reply) {
+  const std::optional<TableContact> contact = table_->LastCommitContact();
+  if (contact.has_value()) ledger_->RecordContact(contact->sent);
   ledger_->CompleteTransaction(customer, reply, scheduler_->Now());
   const bool failed = reply.outcome == CommitOutcome::kRejected ||
                       reply.outcome == CommitOutcome::kUnknown;
   const PrepaidLedger::Summary summary = ledger_->GetSummary(customer);
-  log_->Write(EventId::kLedgerTransactionEnded,
-              failed ? Severity::kWarning : Severity::kDebug,
-              "ledger transaction completed",
-              {{"customer", customer.value()},
-               {"outcome", OutcomeName(reply.outcome)},
-               {"prepaid", absl::StrCat(summary.prepaid.value())},
-               {"granted", absl::StrCat(summary.granted.value())},
-               {"settled", absl::StrCat(summary.settled.value())},
-               {"held_here", absl::StrCat(summary.held_here.value())},
-               {"reserved_here", absl::StrCat(summary.reserved_here.value())}});
+  log_->Write(
+      EventId::kLedgerTransactionEnded,
+      failed ? Severity::kWarning : Severity::kDebug,
+      "ledger transaction completed",
+      {{"customer", customer.value()},
+       {"outcome", OutcomeName(reply.outcome)},
+       {"prepaid", absl::StrCat(summary.prepaid.value())},
+       {"granted", absl::StrCat(summary.granted.value())},
+       {"delivered", absl::StrCat(summary.delivered.value())},
+       {"held_here", absl::StrCat(summary.held_here.value())},
+       {"authorized_here", absl::StrCat(summary.authorized_here.value())},
+       {"reserved_here", absl::StrCat(summary.reserved_here.value())}});
   changed_(customer);
   SendDueTransactions();
 }
--- a/src/router/ledger_transaction_sender.h
+++ b/src/router/ledger_transaction_sender.h
@@ -27,7 +27,6 @@
   void SendDueTransactions();
 
  private:
-  void SendPeriodically();
   void Complete(const CustomerId& customer, const CommitReply& reply);
 
   PrepaidLedger* const ledger_;
--- a/src/router/peer_loans.cc
+++ b/src/router/peer_loans.cc
@@ -12,13 +12,27 @@
 // Values of the availability, which follows the amount in a loan response.
 constexpr char kSoon[] = "soon";
 constexpr char kPoolEmpty[] = "pool_empty";
+constexpr char kExhausted[] = "exhausted";
+// A holder of spare tokens authorizes their return by one transaction.
+constexpr absl::Duration kReturnRetryInterval = absl::Milliseconds(30);
+constexpr int kReturnTries = 4;
 constexpr char kNone[] = "none";
 
 std::string EncodeLoan(const Loan& loan) {
   const char* availability = kNone;
-  if (loan.availability == LoanAvailability::kSoon) availability = kSoon;
-  if (loan.availability == LoanAvailability::kPoolEmpty)
-    availability = kPoolEmpty;
+  switch (loan.availability) {
+    case LoanAvailability::kSoon:
+      availability = kSoon;
+      break;
+    case LoanAvailability::kPoolEmpty:
+      availability = kPoolEmpty;
+      break;
+    case LoanAvailability::kExhausted:
+      availability = kExhausted;
+      break;
+    case LoanAvailability::kNone:
+      break;
+  }
   return absl::StrCat(loan.amount.value(), " ", availability);
 }
 
@@ -32,6 +46,7 @@
   Loan loan{.amount = Tokens(amount)};
   if (fields[1] == kSoon) loan.availability = LoanAvailability::kSoon;
   if (fields[1] == kPoolEmpty) loan.availability = LoanAvailability::kPoolEmpty;
+  if (fields[1] == kExhausted) loan.availability = LoanAvailability::kExhausted;
   return loan;
 }
 
@@ -58,17 +73,26 @@
   }
 }
 
+bool PeerLoans::IsUnresponsive(const Endpoint& peer) const {
+  const auto it = unresponsive_until_.find(peer);
+  return it != unresponsive_until_.end() && it->second > scheduler_->Now();
+}
+
 void PeerLoans::QueryHomeInstance(const std::shared_ptr<Round>& round) {
+  const CustomerId& customer = round->request.customer;
   const std::optional<Endpoint> home =
-      peers_->FindHomeInstance(round->request.customer);
+      peers_->FindHomeInstance(customer, [](const Endpoint&) { return true; });
+  const std::optional<Endpoint> lender = peers_->FindHomeInstance(
+      customer, [this](const Endpoint& peer) { return !IsUnresponsive(peer); });
   round->querying_home = true;
   round->pending = 1;
-  const auto it = home.has_value() ? unresponsive_until_.find(*home)
-                                   : unresponsive_until_.end();
-  const bool skip = !home.has_value() || (it != unresponsive_until_.end() &&
-                                          it->second > scheduler_->Now());
-  if (!skip) {
-    RequestLoan(*home, round);
+  ++round->home_queries;
+  if (lender.has_value()) {
+    LoanRequest request = round->request;
+    if (lender != home && request.kind == LoanKind::kNeeded) {
+      request.kind = LoanKind::kNeededFromDeputy;
+    }
+    RequestLoan(*lender, request, round);
     return;
   }
   // The ledger must not be called from within its own call.
@@ -79,12 +103,16 @@
 void PeerLoans::QueryOtherInstances(const std::shared_ptr<Round>& round) {
   std::vector<Endpoint> peers = peers_->RankInstances(round->request.customer);
   round->pending = 1;
+  // The delivered tokens were reported to the home instance.
+  LoanRequest request = round->request;
+  request.min_amount = Tokens(0);
+  request.delivered = Tokens(0);
   const int count = options_.next_home_instances + options_.random_instances;
   for (int n = 0; n < count && !peers.empty(); ++n) {
     const std::size_t pick =
         n < options_.next_home_instances ? 0 : random_->Below(peers.size());
     ++round->pending;
-    RequestLoan(peers[pick], round);
+    RequestLoan(peers[pick], request, round);
     peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(pick));
   }
   scheduler_->After(absl::ZeroDuration(),
@@ -95,10 +123,8 @@
   const absl::Time now = scheduler_->Now();
   for (const TokenTransfer& transfer : ledger_->TakeTransfers(now)) {
     std::vector<Endpoint> peers = peers_->RankInstances(transfer.customer);
-    std::erase_if(peers, [this, now](const Endpoint& peer) {
-      const auto it = unresponsive_until_.find(peer);
-      return it != unresponsive_until_.end() && it->second > now;
-    });
+    std::erase_if(
+        peers, [this](const Endpoint& peer) { return IsUnresponsive(peer); });
     log_->Write(EventId::kTokensHandedOver, Severity::kInfo,
                 "transferring tokens to another instance",
                 {{"customer", transfer.customer.value()},
@@ -137,20 +163,69 @@
   return true;
 }
 
-void PeerLoans::RequestLoan(const Endpoint& peer,
-                            const std::shared_ptr<Round>& round) {
-  const LoanRequest& request = round->request;
+void PeerLoans::SendLoanRequest(const Endpoint& peer,
+                                const LoanRequest& request,
+                                PeerClient::Done done) {
   client_->Send(
       peer,
       absl::StrCat(kPeerLoanPath, request.amount.value(), "/",
-                   request.from_any_instance ? 0 : request.min_amount.value(),
-                   "/", request.customer.value()),
-      options_.timeout,
+                   request.min_amount.value(), "/", request.held.value(), "/",
+                   request.delivered.value(), "/",
+                   static_cast<int>(request.kind), "/",
+                   request.customer.value()),
+      options_.timeout, std::move(done));
+}
+
+void PeerLoans::RequestReturn(const CustomerId& customer,
+                              const std::vector<Endpoint>& holders) {
+  for (const Endpoint& holder : holders) {
+    RequestReturnFrom(holder,
+                      {.customer = customer,
+                       .amount = Tokens(INT64_MAX / 4),
+                       .min_amount = Tokens(1),
+                       .kind = LoanKind::kReturn},
+                      kReturnTries);
+  }
+}
+
+void PeerLoans::RequestReturnFrom(const Endpoint& holder,
+                                  const LoanRequest& request, int tries) {
+  SendLoanRequest(
+      holder, request,
+      [this, holder, request, tries](const std::optional<PeerResponse>& reply) {
+        const std::optional<Loan> loan = reply.has_value() && reply->accepted
+                                             ? DecodeLoan(reply->body)
+                                             : std::nullopt;
+        if (!loan.has_value()) return;
+        if (loan->amount > Tokens(0)) {
+          ledger_->Borrow(request.customer, loan->amount);
+          peers_->OnLedgerChanged(request.customer);
+        } else if (loan->availability == LoanAvailability::kSoon && tries > 1) {
+          scheduler_->After(kReturnRetryInterval,
+                            [this, holder, request, tries] {
+                              RequestReturnFrom(holder, request, tries - 1);
+                            });
+        }
+      });
+}
+
+void PeerLoans::RequestLoan(const Endpoint& peer, const LoanRequest& request,
+                            const std::shared_ptr<Round>& round) {
+  SendLoanRequest(
+      peer, request,
       [this, peer, round](const std::optional<PeerResponse>& reply) {
         unresponsive_until_.erase(peer);
         if (!reply.has_value()) {
           unresponsive_until_[peer] =
               scheduler_->Now() + options_.unresponsive_backoff;
+          if (round->querying_home &&
+              round->home_queries < options_.home_queries) {
+            // The tokens were possibly reported to the instance that didn't
+            // respond.
+            round->request.delivered = Tokens(0);
+            QueryHomeInstance(round);
+            return;
+          }
         }
         const std::optional<Loan> loan = reply.has_value() && reply->accepted
                                              ? DecodeLoan(reply->body)
@@ -205,15 +280,27 @@
 std::optional<std::string> PeerLoans::HandleLoanRequest(
     const std::string& query, PrepaidLedger* ledger, absl::Time now) {
   const std::vector<std::string> fields =
-      absl::StrSplit(query, absl::MaxSplits('/', 2));
-  std::int64_t wanted = 0;
+      absl::StrSplit(query, absl::MaxSplits('/', 5));
+  std::int64_t amount = 0;
   std::int64_t min_amount = 0;
-  if (fields.size() != 3 || !absl::SimpleAtoi(fields[0], &wanted) ||
-      !absl::SimpleAtoi(fields[1], &min_amount)) {
+  std::int64_t held = 0;
+  std::int64_t delivered = 0;
+  int kind = 0;
+  if (fields.size() != 6 || !absl::SimpleAtoi(fields[0], &amount) ||
+      !absl::SimpleAtoi(fields[1], &min_amount) ||
+      !absl::SimpleAtoi(fields[2], &held) ||
+      !absl::SimpleAtoi(fields[3], &delivered) || delivered < 0 ||
+      !absl::SimpleAtoi(fields[4], &kind) || kind < 0 ||
+      kind > static_cast<int>(LoanKind::kReturn)) {
     return std::nullopt;
   }
-  return EncodeLoan(ledger->Lend(CustomerId(fields[2]), Tokens(wanted),
-                                 Tokens(min_amount), now));
+  return EncodeLoan(ledger->Lend({.customer = CustomerId(fields[5]),
+                                  .amount = Tokens(amount),
+                                  .min_amount = Tokens(min_amount),
+                                  .held = Tokens(held),
+                                  .delivered = Tokens(delivered),
+                                  .kind = static_cast<LoanKind>(kind)},
+                                 now));
 }
 
 }  // namespace wisteriareel
--- a/src/router/peer_loans.h
+++ b/src/router/peer_loans.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAREEL_SRC_ROUTER_PEER_LOANS_H_
 #define WISTERIAREEL_SRC_ROUTER_PEER_LOANS_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +23,9 @@
   // instance transfers its tokens when it shuts down, and others at random.
   int next_home_instances = 4;
   int random_instances = 4;
+  // Instances queried for one loan as the home instance or its deputies, one
+  // after the other while they don't respond.
+  int home_queries = 2;
   // A loan must arrive before a caller's time limit for the first token.
   absl::Duration timeout = absl::Milliseconds(200);
   // An instance that didn't respond isn't queried again for this long.
@@ -33,9 +37,11 @@
  public:
   virtual ~LoanPeerDirectory() = default;
 
-  // Returns the customer's home instance, or nullopt if that is this instance.
+  // Returns the customer's home instance, the first in rank that `is_usable`
+  // accepts, or nullopt if that is this instance.
   virtual std::optional<Endpoint> FindHomeInstance(
-      const CustomerId& customer) const = 0;
+      const CustomerId& customer,
+      const std::function<bool(const Endpoint&)>& is_usable) const = 0;
   // Returns the other instances, ordered by their rank for the customer,
   // highest first.
   virtual std::vector<Endpoint> RankInstances(
@@ -57,6 +63,10 @@
   // Requests the loans that the ledger needs.
   void RequestLoans();
 
+  // Requests the return of the customer's spare tokens from `holders`.
+  void RequestReturn(const CustomerId& customer,
+                     const std::vector<Endpoint>& holders);
+
   // Transfers the tokens that can't be returned to the platform to the
   // customers' next home instances.
   void TransferTokens();
@@ -77,6 +87,8 @@
     LoanRequest request;
     // True while the home instance is queried, false once the others are.
     bool querying_home = false;
+    // Instances queried as the home instance or its deputy.
+    int home_queries = 0;
     // Queries without a result yet.
     int pending = 0;
     std::int64_t lent = 0;
@@ -86,7 +98,13 @@
 
   void QueryHomeInstance(const std::shared_ptr<Round>& round);
   void QueryOtherInstances(const std::shared_ptr<Round>& round);
-  void RequestLoan(const Endpoint& peer, const std::shared_ptr<Round>& round);
+  void RequestLoan(const Endpoint& peer, const LoanRequest& request,
+                   const std::shared_ptr<Round>& round);
+  void SendLoanRequest(const Endpoint& peer, const LoanRequest& request,
+                       PeerClient::Done done);
+  void RequestReturnFrom(const Endpoint& holder, const LoanRequest& request,
+                         int tries);
+  bool IsUnresponsive(const Endpoint& peer) const;
   void CompleteQuery(const std::shared_ptr<Round>& round);
   void FinishRound(const Round& round);
 
@@ -102,7 +120,8 @@
 };
 
 // Path of a loan request, followed by the tokens wanted, the minimum that is
-// of use, and the customer, separated by slashes.
+// of use, the tokens held, the delivered tokens to report, the number of the
+// LoanKind, and the customer, separated by slashes.
 inline constexpr char kPeerLoanPath[] = "/peer/loan/";
 // Path of a token transfer, followed by the amount and the customer, separated
 // by a slash.
--- a/src/router/token_plane.cc
+++ b/src/router/token_plane.cc
@@ -3,8 +3,22 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace wisteriareel {
+namespace {
+
+// Time between two checks for due transactions and loans. Waiting requests
+// trigger a check at once.
+constexpr absl::Duration kTickInterval = absl::Milliseconds(100);
+// A heartbeat states the present time only if a write was acknowledged that
+// recently. Otherwise the limits would not grow while the platform is
+// unavailable.
+constexpr absl::Duration kMaxContactAge = absl::Milliseconds(1200);
+// Readings of the platform's clock are whole milliseconds.
+constexpr absl::Duration kClockResolution = absl::Milliseconds(1);
+
+}  // namespace
 
 TokenPlane::TokenPlane(TokenPlaneOptions options,
                        const TokenPlaneDependencies& dependencies)
@@ -26,7 +40,19 @@
              dependencies.random, &ledger_, dependencies.log,
              static_cast<LoanPeerDirectory*>(this)) {}
 
-void TokenPlane::Start() { registry_.Start(); }
+void TokenPlane::Start() {
+  registry_.Start();
+  Tick();
+}
+
+void TokenPlane::Tick() {
+  for (const CustomerId& customer :
+       ledger_.CustomersToRetry(scheduler_->Now())) {
+    OnLedgerChanged(customer);
+  }
+  OnWaitingForTokens();
+  scheduler_->After(kTickInterval, [this] { Tick(); });
+}
 
 void TokenPlane::ApplyConfig(const RouteConfig& config) {
   ledger_.SetBudgets(config, scheduler_->Now());
@@ -37,6 +63,32 @@
 void TokenPlane::OnWaitingForTokens() {
   sender_.SendDueTransactions();
   loans_.RequestLoans();
+  GatherTokens();
+}
+
+void TokenPlane::GatherTokens() {
+  for (const CustomerId& customer : ledger_.TakeGatherings(scheduler_->Now())) {
+    table_->Read(
+        PrepaidLedger::kTable, customer.value(),
+        [this, customer](const std::optional<RowsReply>& reply,
+                         const LastReason&) {
+          std::optional<std::vector<PartitionRow>> rows;
+          if (reply.has_value()) rows = reply->rows;
+          const std::vector<std::string> names =
+              ledger_.CompleteGathering(customer, rows, scheduler_->Now());
+          log_->Write(EventId::kTokensRecalled, Severity::kInfo,
+                      "asking other instances to return tokens",
+                      {{"customer", customer.value()},
+                       {"instances", absl::StrJoin(names, ",")}});
+          std::vector<Endpoint> holders;
+          for (const std::string& name : names) {
+            const std::optional<Endpoint> peer = registry_.FindAddress(name);
+            if (peer.has_value()) holders.push_back(*peer);
+          }
+          loans_.RequestReturn(customer, holders);
+          OnLedgerChanged(customer);
+        });
+  }
 }
 
 std::optional<std::string> TokenPlane::HandlePeerRequest(
@@ -46,8 +98,9 @@
     std::optional<std::string> loan = PeerLoans::HandleLoanRequest(
         path.substr(loan_path.size()), &ledger_, scheduler_->Now());
     // The loan may leave too few tokens here, so that new ones must be
-    // requested from the platform.
+    // requested from the platform or from other instances.
     sender_.SendDueTransactions();
+    GatherTokens();
     return loan;
   }
   const std::string transfer_path(kPeerTransferPath);
@@ -80,43 +133,50 @@
 
 void TokenPlane::UpdateHomeInstances() {
   ledger_.SetHomeCustomers([this](const CustomerId& customer) {
-    return !FindHomeInstance(customer).has_value();
+    return !FindHomeInstance(customer, [](const Endpoint&) {
+              return true;
+            }).has_value();
   });
 }
 
 void TokenPlane::OnPreviousIncarnation(
     const std::optional<InstanceHeartbeat>& last) {
-  // `since` is the time from the last contact of the previous incarnation to
-  // the start of this one. The previous one ended before that.
+  // The previous incarnation ended before this one started, so it can't have
+  // run for longer than `gap` after its last contact.
   const std::optional<TableContact> contact = table_->LastContact();
-  InheritedUse use = InheritedUse::kAll;
-  absl::Duration since = absl::InfiniteDuration();
+  absl::Duration gap = absl::InfiniteDuration();
   if (last.has_value() && contact.has_value()) {
-    since = absl::Milliseconds(contact->platform_ms - last->contact_ms) -
-            (contact->sent - started_);
-    if (since < PrepaidLedgerOptions().reserve_after) {
-      use = InheritedUse::kAuthorized;
-    }
+    gap = absl::Milliseconds(contact->platform_ms - last->contact_ms) -
+          (contact->sent - started_) + 2 * kClockResolution;
   }
-  ledger_.SetInheritedUse(use);
+  ledger_.SetInheritedGap(gap, scheduler_->Now());
   log_->Write(EventId::kTokensInherited, Severity::kInfo,
-              "inherited the tokens of a previous incarnation",
-              {{"reserve", use == InheritedUse::kAll ? "lost" : "kept"},
-               {"since_contact", absl::FormatDuration(since)}});
+              "inherits the tokens of a previous incarnation, less what that "
+              "may have used",
+              {{"since_contact", absl::FormatDuration(gap)}});
   sender_.Start();
 }
 
 std::optional<std::int64_t> TokenPlane::ContactToReport() {
-  const std::optional<TableContact> contact = table_->LastContact();
-  if (!contact.has_value()) return std::nullopt;
-  ledger_.RecordContact(contact->sent);
-  if (!ledger_.IsWithinAuthorized()) return std::nullopt;
-  return contact->platform_ms;
+  const std::optional<TableContact> commit = table_->LastCommitContact();
+  const std::optional<TableContact> clock = table_->LastContact();
+  if (!commit.has_value() || !clock.has_value()) return std::nullopt;
+  ledger_.RecordContact(commit->sent);
+  const absl::Time now = scheduler_->Now();
+  if (now - commit->received > kMaxContactAge ||
+      !ledger_.IsWithinAuthorized()) {
+    return std::nullopt;
+  }
+  // The limit doesn't grow from before the time that the heartbeat states. The
+  // platform's clock shows at least this value now.
+  ledger_.RecordReportedTime(now);
+  return clock->platform_ms + absl::ToInt64Milliseconds(now - clock->received);
 }
 
 std::optional<Endpoint> TokenPlane::FindHomeInstance(
-    const CustomerId& customer) const {
-  return registry_.FindHomeInstance(customer.value());
+    const CustomerId& customer,
+    const std::function<bool(const Endpoint&)>& is_usable) const {
+  return registry_.FindHomeInstance(customer.value(), is_usable);
 }
 
 std::vector<Endpoint> TokenPlane::RankInstances(
@@ -126,6 +186,8 @@
 }
 
 void TokenPlane::OnLedgerChanged(const CustomerId& customer) {
+  // The requests that still wait state their needs again.
+  ledger_.ForgetWaitingRequests(customer);
   owner_->OnTokensChanged(customer);
   OnWaitingForTokens();
 }
--- a/src/router/token_plane.h
+++ b/src/router/token_plane.h
@@ -2,6 +2,7 @@
 #define WISTERIAREEL_SRC_ROUTER_TOKEN_PLANE_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -91,6 +92,7 @@
   void Leave() { registry_.Leave(); }
 
  private:
+  void Tick();
   void UpdateHomeInstances();
 
   void OnInstancesCounted(int count) override;
@@ -98,8 +100,12 @@
       const std::optional<InstanceHeartbeat>& last) override;
   std::optional<std::int64_t> ContactToReport() override;
 
+  // Asks other instances to return tokens of customers whose pool is empty.
+  void GatherTokens();
+
   std::optional<Endpoint> FindHomeInstance(
-      const CustomerId& customer) const override;
+      const CustomerId& customer,
+      const std::function<bool(const Endpoint&)>& is_usable) const override;
   std::vector<Endpoint> RankInstances(
       const CustomerId& customer) const override;
   void OnLedgerChanged(const CustomerId& customer) override;
--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -89,6 +89,7 @@
         .routes = {route_},
         .customers = {{.id = CustomerId("c"), .prepaid = prepaid_}}};
     ledger_.SetBudgets(config, kStart - absl::Minutes(1));
+    ledger_.SetHomeCustomers([](const CustomerId&) { return true; });
     const auto table = std::make_shared<const RouteTable>(config);
     exchange_ = std::make_unique<Exchange>(
         ExchangeRequest{.info = info_,
