Tell callers when tokens become usable, and authorize less ahead

Cause: an instance that is cut off knows when its limit will have grown enough for a request, but told all callers to return after 800 ms. What a home instance authorizes ahead is lost when it is killed, and a customer who then never reaches what it paid for is refused to the end. Ruled out: a shorter delay of the spare tokens (lost at each restart instead). Change: Retry-After of a refusal for tokens is the time until the limit covers the request, spread by request; a home instance authorizes half a second ahead; spare tokens open within 3 s.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "wisteriareel/stable_hash.h"
 
 namespace wisteriareel {
 namespace {
@@ -24,6 +25,11 @@
 // Values of Retry-After for callers.
 constexpr absl::Duration kBusyRetryAfter = absl::Milliseconds(500);
 constexpr absl::Duration kBudgetRetryAfter = absl::Milliseconds(800);
+// Callers that are told to return when tokens become usable are spread over
+// this multiple of their time.
+constexpr double kRetrySpread = 1.3;
+constexpr absl::Duration kMinBudgetRetryAfter = absl::Milliseconds(100);
+constexpr absl::Duration kMaxBudgetRetryAfter = absl::Seconds(3);
 // Idle timeouts of a target as multiples of the route's objectives. A retryable
 // request is then sent to another target.
 constexpr double kHeadTimeoutFactor = 2.5;
@@ -85,11 +91,23 @@
       RefuseRequest(503, Reason::kGrantTooSmall, kBudgetRetryAfter, now);
       return;
     case ReserveResult::kPlatformUnavailable:
-      RefuseRequest(503, Reason::kBudgetPlatformAway, kBudgetRetryAfter, now);
+      RefuseRequest(503, Reason::kBudgetPlatformAway, TokenRetryAfter(now),
+                    now);
       return;
   }
 }
 
+absl::Duration Exchange::TokenRetryAfter(absl::Time now) const {
+  const absl::Duration wait = services_.ledger->TimeUntilCovered(
+      request_.customer, request_.info.MaxTokens(), now);
+  if (wait > kMaxBudgetRetryAfter) return kBudgetRetryAfter;
+  const double spread =
+      1 + (kRetrySpread - 1) *
+              (static_cast<double>(StableHash(request_.info.id.value()) >> 11) *
+               0x1.0p-53);
+  return std::max(wait, kMinBudgetRetryAfter) * spread;
+}
+
 PlacementRequirements Exchange::GetRequirements() const {
   PlacementRequirements requirements{.service = request_.service,
                                      .engine = request_.engine.has_value(),
@@ -404,7 +422,7 @@
 void Exchange::OnTimer(absl::Time now) {
   if (phase_ == Phase::kDone) return;
   if (phase_ == Phase::kReservingTokens) {
-    RefuseRequest(503, Reason::kBudgetPlatformAway, kBudgetRetryAfter, now);
+    RefuseRequest(503, Reason::kBudgetPlatformAway, TokenRetryAfter(now), now);
     return;
   }
   if (now < Deadline()) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -178,6 +178,8 @@
 
   absl::Time Deadline() const;
   void TryReserve(absl::Time now);
+  // Returns when a caller that was refused for tokens should return.
+  absl::Duration TokenRetryAfter(absl::Time now) const;
   // Sends the request to a target, after a query of the load of candidates
   // whose load isn't known.
   void Dispatch(absl::Time now);
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -41,6 +41,13 @@
   return std::min(granted, authorized + static_cast<std::int64_t>(grown));
 }
 
+absl::Duration PrepaidLedger::Holding::GapForLimit(std::int64_t amount) const {
+  if (amount <= std::min(granted, authorized)) return absl::ZeroDuration();
+  if (amount > granted || growth <= 0) return absl::InfiniteDuration();
+  return delay + absl::Seconds(static_cast<double>(amount - authorized) /
+                               static_cast<double>(growth));
+}
+
 PrepaidLedger::PrepaidLedger(PrepaidLedgerOptions options)
     : options_(std::move(options)) {}
 
@@ -269,6 +276,20 @@
                                : Tokens(FreeAmount(it->second, now));
 }
 
+absl::Duration PrepaidLedger::TimeUntilCovered(const CustomerId& customer,
+                                               Tokens max_tokens,
+                                               absl::Time now) const {
+  const auto it = accounts_.find(customer);
+  if (it == accounts_.end()) return absl::InfiniteDuration();
+  const Account& account = it->second;
+  const std::int64_t needed = UsedAmount(account) + max_tokens.value();
+  absl::Duration gap = account.own.GapForLimit(needed);
+  if (account.pending.has_value()) {
+    gap = std::max(gap, account.pending->own.GapForLimit(needed));
+  }
+  return std::max(absl::ZeroDuration(), gap - (now - last_contact_));
+}
+
 PrepaidLedger::Summary PrepaidLedger::GetSummary(
     const CustomerId& customer) const {
   const auto it = accounts_.find(customer);
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -211,6 +211,11 @@
   // Returns the tokens that could be reserved for `customer` now.
   Tokens FreeTokens(const CustomerId& customer, absl::Time now) const;
 
+  // Returns the time until this instance alone can cover `max_tokens` because
+  // the limit grows, or an infinite time if it can't.
+  absl::Duration TimeUntilCovered(const CustomerId& customer, Tokens max_tokens,
+                                  absl::Time now) const;
+
   // The known state of a customer's budget, for logs.
   struct Summary {
     Tokens prepaid;
@@ -288,6 +293,10 @@
     // Returns the limit `gap` after the last contact.
     std::int64_t LimitAfter(absl::Duration gap) const;
 
+    // Returns the time after the last contact at which the limit reaches
+    // `amount`, or an infinite time.
+    absl::Duration GapForLimit(std::int64_t amount) const;
+
     friend bool operator==(const Holding&, const Holding&) = default;
   };
   // A transaction that was planned and has no definite reply, with the rows
--- a/src/forward/prepaid_ledger_plan.cc
+++ b/src/forward/prepaid_ledger_plan.cc
@@ -40,7 +40,7 @@
 // ahead of use, in percent. They are lost when the instance is killed.
 constexpr int kMaxAuthorizedPercent = 25;
 // Tokens are authorized for the expected use in this time.
-constexpr absl::Duration kAuthorizedTime = absl::Seconds(1);
+constexpr absl::Duration kAuthorizedTime = absl::Milliseconds(500);
 // In addition, for the expected use in this multiple of the time that the
 // platform takes for a transaction.
 constexpr double kAuthorizedCommits = 3;
@@ -50,7 +50,7 @@
 // Growth of the limit without contact as a multiple of the expected use.
 constexpr double kGrowthFactor = 1.5;
 // Time in which the limit of spare tokens grows to all of them.
-constexpr absl::Duration kSpareGrowthTime = absl::Seconds(4);
+constexpr absl::Duration kSpareGrowthTime = absl::Seconds(3);
 // The limit grows once no write was acknowledged for this long. Exceeds the
 // interval of heartbeats, which grows with the number of instances, so that it
 // doesn't grow while the platform is available.
--- a/test/token_fleet.cc
+++ b/test/token_fleet.cc
@@ -35,6 +35,8 @@
 // Time limit of the wait for tokens.
 constexpr absl::Duration kTokenWait = absl::Milliseconds(400);
 constexpr absl::Duration kRetryAfter = absl::Milliseconds(800);
+constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(100);
+constexpr absl::Duration kMaxRetryAfter = absl::Milliseconds(1600);
 constexpr absl::Duration kShutdownTick = absl::Milliseconds(50);
 constexpr absl::Duration kBalancerNotice = absl::Milliseconds(3500);
 constexpr absl::Duration kShutdownGrace = absl::Milliseconds(7600);
@@ -288,8 +290,8 @@
         [&truth, rest = request.max_tokens - used] { truth.settling -= rest; });
   }
 
-  void RecordRefusal(const Request& request, int instance,
-                     ReserveResult result) {
+  void RecordRefusal(const Request& request, int instance, ReserveResult result,
+                     absl::Duration retry_after) {
     const Truth& truth = this->truth(request.customer);
     const std::int64_t taken = truth.consumed + truth.running + truth.settling;
     const bool fits = static_cast<double>(taken + request.max_tokens) <=
@@ -306,7 +308,7 @@
       if (fits) ++result_.falsely_unserved;
       return;
     }
-    queue_.At(queue_.now() + kRetryAfter * (0.9 + 0.2 * random_->Fraction()),
+    queue_.At(queue_.now() + retry_after * (0.9 + 0.2 * random_->Fraction()),
               [this, request] { Deliver(request); });
   }
 
@@ -749,7 +751,14 @@
 }
 
 void Process::Refuse(const Request& request, ReserveResult result) {
-  fleet_->RecordRefusal(request, index_, result);
+  absl::Duration retry_after = kRetryAfter;
+  if (result == ReserveResult::kPlatformUnavailable) {
+    const absl::Duration wait = plane_.ledger()->TimeUntilCovered(
+        Fleet::Customer(request.customer), Tokens(request.max_tokens), Now());
+    // Callers return within a third of their time.
+    if (wait < kMaxRetryAfter) retry_after = std::max(wait, kMinRetryAfter);
+  }
+  fleet_->RecordRefusal(request, index_, result, retry_after);
 }
 
 void Process::OnTokensChanged(const CustomerId& customer) {
