Take no response without an id on a reused connection, and bound endless ones

Cause: what befell similar systems can happen here. A target's second copy of a response, sent after the next request was written to the same connection and without the id that would tell it apart, went to the next caller as its own response. A chunk extension without an end was buffered until the time limit of the request, at the speed of the link, from targets as well as in all calls to the platform, to engines and to other instances. Interim responses without an end kept a request and its connection until the time limit. Ruled out: no reuse of connections (new connections are dear at the targets); dropping only copies with the same length or body. Change: on a reused connection a response must state the request's id, or the attempt fails as one that may have run. More than 128 KiB that the parser doesn't consume, or more than 16 unrelated responses, end the attempt.

--- a/src/runtime/async_http_client.cc
+++ b/src/runtime/async_http_client.cc
@@ -23,6 +23,9 @@
 
 constexpr std::size_t kMaxIdleConnections = 4;
 constexpr std::uint64_t kMaxResponseBytes = 64 << 20;
+// Maximum number of received bytes that the parser has not consumed, such as a
+// chunk extension without an end.
+constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
 // Maximum time for a complete response, even if data keeps arriving.
 constexpr absl::Duration kMaxResponseTime = absl::Seconds(20);
 // An endpoint that acknowledges neither data nor keep-alive probes for this
@@ -157,7 +160,7 @@
   std::chrono::steady_clock::time_point deadline_;
   std::unique_ptr<Socket> socket_;
   std::string request_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   http::response_parser<http::string_body> parser_;
 };
 
--- a/src/runtime/message_codec.h
+++ b/src/runtime/message_codec.h
@@ -35,6 +35,9 @@
   virtual bool IsResponseTo(const ResponseHead& head,
                             const RequestId& id) const = 0;
 
+  // Returns true if the response states the id of its request.
+  virtual bool StatesRequestId(const ResponseHead& head) const = 0;
+
   // Returns the head of the response for the caller, without framing headers.
   virtual ResponseHead EncodeResponse(
       const ResponseHead& from_target) const = 0;
--- a/src/runtime/target_attempt.cc
+++ b/src/runtime/target_attempt.cc
@@ -26,6 +26,12 @@
 constexpr std::size_t kReadBytes = 16 << 10;
 constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
 constexpr std::uint64_t kMaxBodyBytes = 256 << 20;
+// Maximum number of received bytes that the parser has not consumed, such as a
+// chunk extension without an end.
+constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
+// Maximum number of interim responses and responses to other requests before
+// the response to this one.
+constexpr int kMaxUnrelatedResponses = 16;
 // Time for which an idle connection may be reused if the target states no
 // timeout in Keep-Alive.
 constexpr absl::Duration kDefaultIdleTimeout = absl::Seconds(3);
@@ -68,7 +74,8 @@
   if (!request_.fresh_connection) {
     socket_ = connections_->Acquire(request_.target);
   }
-  if (socket_ != nullptr) {
+  reused_connection_ = socket_ != nullptr;
+  if (reused_connection_) {
     // Start must not deliver an event from within the call.
     asio::post(*io_, [self = shared_from_this()] {
       if (self->observer_ != nullptr) self->WriteRequest();
@@ -153,14 +160,18 @@
 bool TargetAttempt::HandleHead() {
   head_seen_ = true;
   const ResponseHead& head = parser_->get().base();
-  if (head.result_int() >= 100 && head.result_int() < 200) {
+  const bool interim = head.result_int() >= 100 && head.result_int() < 200;
+  if (interim || !codec_->IsResponseTo(head, request_.id)) {
+    // The latter is a late response to an earlier request on this connection.
     unrelated_response_ = true;
-    return true;
+    if (++unrelated_responses_ <= kMaxUnrelatedResponses) return true;
+    FailAttempt();
+    return false;
   }
-  if (!codec_->IsResponseTo(head, request_.id)) {
-    // A late response to an earlier request on this connection.
-    unrelated_response_ = true;
-    return true;
+  if (reused_connection_ && !codec_->StatesRequestId(head)) {
+    // It may be a second copy of the response to an earlier request.
+    FailAttempt();
+    return false;
   }
   observer_->OnTargetResponseHead(head);
   return observer_ != nullptr;
@@ -196,7 +207,7 @@
       ResetParser();
       if (buffer_.size() > 0) continue;
     }
-    if (eof_) {
+    if (eof_ || buffer_.size() > kMaxUnparsedBytes) {
       FailAttempt();
       return;
     }
--- a/test/async_http_client_test.cc
+++ b/test/async_http_client_test.cc
@@ -1,5 +1,6 @@
 #include "src/runtime/async_http_client.h"
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -80,6 +81,22 @@
   EXPECT_TRUE(ended);
 }
 
+TEST(AsyncHttpClientTest, AnEndlessChunkExtensionIsAFailure) {
+  constexpr std::size_t kMaxEndlessBytes = 24 << 20;
+  std::size_t sent = 0;
+  const auto reply = RequestFrom(absl::Seconds(20), [&sent](int fd) {
+    Write(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+    const std::string more(1 << 14, 'x');
+    while (sent < kMaxEndlessBytes) {
+      const ssize_t n = send(fd, more.data(), more.size(), MSG_NOSIGNAL);
+      if (n <= 0) break;
+      sent += static_cast<std::size_t>(n);
+    }
+  });
+  EXPECT_FALSE(reply.has_value());
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
 TEST(AsyncHttpClientTest, ATruncatedResponseIsAFailure) {
   const auto reply = RequestFrom(absl::Seconds(20), [](int fd) {
     Write(fd, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nxx");
--- /dev/null
+++ b/test/router_daemon_fixture.h
@@ -0,0 +1,271 @@
+#ifndef WISTERIAREEL_TEST_ROUTER_DAEMON_FIXTURE_H_
+#define WISTERIAREEL_TEST_ROUTER_DAEMON_FIXTURE_H_
+
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "boost/asio/io_context.hpp"
+#include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/post.hpp"
+#include "boost/asio/steady_timer.hpp"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "platform/message_codec.h"
+#include "src/router/router_daemon.h"
+#include "test/raw_connection.h"
+
+namespace wisteriareel {
+
+// Returns a loopback port that was free when it was checked.
+inline std::uint16_t FreePort() {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+// In-memory table without failures; all calls run on the daemon's thread.
+class InMemoryTable final : public AsyncTable {
+ public:
+  explicit InMemoryTable(boost::asio::io_context* io) : io_(io) {}
+
+  std::optional<TableContact> LastCommitContact() const override {
+    return LastContact();
+  }
+  std::optional<TableContact> LastContact() const override {
+    return TableContact{.platform_ms = 1,
+                        .sent = SystemClock()->Now(),
+                        .received = SystemClock()->Now()};
+  }
+  void Commit(const PartitionTransaction& transaction,
+              CommitDone done) override {
+    CommitReply reply{.outcome = CommitOutcome::kCommitted};
+    for (const PartitionRowCondition& condition : transaction.conditions) {
+      const auto it = rows_.find(condition.key);
+      const std::uint64_t version = it == rows_.end() ? 0 : it->second.version;
+      if (it != rows_.end()) reply.current.push_back(it->second);
+      if (version != condition.version)
+        reply.outcome = CommitOutcome::kConflict;
+    }
+    if (reply.outcome == CommitOutcome::kCommitted) {
+      reply.version = ++version_;
+      for (const PartitionRowWrite& write : transaction.writes) {
+        rows_[write.key] = {.key = write.key,
+                            .value = write.value.value_or(""),
+                            .version = version_};
+      }
+    }
+    boost::asio::post(*io_, [done = std::move(done), reply] { done(reply); });
+  }
+  void Read(const std::string& table, const std::string& /*partition*/,
+            ReadDone done) override {
+    RowsReply reply{.version = version_};
+    for (const auto& [key, row] : rows_) {
+      if (key.table == table) reply.rows.push_back(row);
+    }
+    boost::asio::post(
+        *io_, [done = std::move(done), reply] { done(reply, LastReason()); });
+  }
+  void PollChanges(const std::string& /*table*/, std::uint64_t /*version*/,
+                   absl::Duration /*wait*/, PollDone /*done*/) override {}
+
+ private:
+  boost::asio::io_context* const io_;
+  std::uint64_t version_ = 0;
+  std::map<PartitionRowKey, PartitionRow> rows_;
+};
+
+// Source with a constant configuration and one target.
+class FixedSource final : public DeploymentSource {
+ public:
+  FixedSource(boost::asio::io_context* io, RouteConfig config,
+              TargetEntry target)
+      : io_(io), config_(std::move(config)), target_(std::move(target)) {}
+
+  void ReadConfig(ConfigDone done) override {
+    const PositionedConfig reading{
+        .config =
+            ParsedConfig{.table = std::make_shared<const RouteTable>(config_),
+                         .text = std::make_shared<const std::string>("1")}};
+    boost::asio::post(*io_,
+                      [done = std::move(done), reading] { done(reading); });
+  }
+  void PollConfig(std::uint64_t /*position*/, absl::Duration wait,
+                  ConfigPollDone done) override {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(
+        *io_, absl::ToChronoMilliseconds(wait));
+    timer->async_wait(
+        [timer, done = std::move(done)](boost::system::error_code ec) {
+          if (!ec) done({.outcome = ConfigPollResult::Outcome::kRead});
+        });
+  }
+  void ListTargets(TargetsDone done) override {
+    boost::asio::post(*io_, [this, done = std::move(done)] {
+      done(std::vector<TargetEntry>{target_});
+    });
+  }
+  std::optional<ParsedConfig> ParseConfig(
+      const std::string& /*text*/, LastReason* /*reason*/) const override {
+    return std::nullopt;
+  }
+
+ private:
+  boost::asio::io_context* const io_;
+  const RouteConfig config_;
+  const TargetEntry target_;
+};
+
+// Load source that reports no load for any target.
+class NoLoadSource final : public TargetLoadSource {
+ public:
+  explicit NoLoadSource(boost::asio::io_context* io) : io_(io) {}
+
+  void ReadLoad(const TargetEntry& /*target*/, absl::Duration /*timeout*/,
+                Done done) override {
+    boost::asio::post(*io_, [done = std::move(done)] { done(std::nullopt); });
+  }
+
+ private:
+  boost::asio::io_context* const io_;
+};
+
+// Target that serves each connection with a function of the test.
+class ScriptedTarget {
+ public:
+  explicit ScriptedTarget(std::function<void(int fd)> serve)
+      : serve_(std::move(serve)),
+        acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
+        thread_([this] { Run(); }) {}
+  ~ScriptedTarget() {
+    stopping_ = true;
+    RawConnection wake(port());
+    thread_.join();
+  }
+
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+  // Returns the bytes up to the end of a request's head.
+  static std::string ReadHead(int fd) {
+    std::string head;
+    char byte = 0;
+    while (head.find("\r\n\r\n") == std::string::npos &&
+           read(fd, &byte, 1) == 1) {
+      head += byte;
+    }
+    return head;
+  }
+  static void Write(int fd, const std::string& bytes) {
+    EXPECT_EQ(write(fd, bytes.data(), bytes.size()),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
+ private:
+  void Run() {
+    for (;;) {
+      boost::asio::ip::tcp::socket socket(io_);
+      acceptor_.accept(socket);
+      if (stopping_) return;
+      serve_(socket.native_handle());
+    }
+  }
+
+  const std::function<void(int fd)> serve_;
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+};
+
+class RouterDaemonTest : public ::testing::Test {
+ protected:
+  void Start(std::uint16_t target_port, RouteKind kind) {
+    const RouteConfig config{
+        .revision = Revision(1),
+        .routes = {{.name = "r",
+                    .host = "h.example",
+                    .prefix = "/a/",
+                    .kind = kind,
+                    .timeout = absl::Seconds(20),
+                    .objective = absl::Seconds(10),
+                    .pause_objective = absl::Seconds(10),
+                    .services = {{.service = ServiceId("s")}}}},
+        .services = {{.id = ServiceId("s")}},
+        .customers = {{.id = CustomerId("c"), .api_keys = {"key"}}}};
+    source_ = std::make_unique<FixedSource>(
+        &io_, config,
+        TargetEntry{.id = TargetId("t"),
+                    .service = ServiceId("s"),
+                    .address = {.host = "127.0.0.1", .port = target_port},
+                    .zone = ZoneId("a")});
+    settings_.instance = {.id = InstanceId("i"), .zone = ZoneId("a")};
+    settings_.listen.callers = {.host = "127.0.0.1", .port = FreePort()};
+    settings_.listen.ready = {.host = "127.0.0.1", .port = FreePort()};
+    settings_.listen.peers = {.host = "127.0.0.1", .port = FreePort()};
+    daemon_ = std::make_unique<RouterDaemon>(
+        settings_,
+        RouterDependencies{.codec = &codec_,
+                           .table = &table_,
+                           .source = source_.get(),
+                           .loads = &loads_},
+        &io_, DiscardEvents(), [] {});
+    LastReason reason;
+    ASSERT_TRUE(daemon_->Start(&reason)) << reason.detail();
+    thread_ = std::thread([this] { daemon_->Run(); });
+    // Ready once configuration and targets are known.
+    while (!absl::StartsWith(
+        SendRequestLine(settings_.listen.ready.port, "GET /ready"),
+        "HTTP/1.1 200")) {
+    }
+  }
+
+  void TearDown() override {
+    io_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
+  static std::string SendRequestLine(std::uint16_t port,
+                                     const std::string& line) {
+    RawConnection connection(port);
+    connection.Send(absl::StrCat(
+        line, " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+    return connection.ReadAll();
+  }
+
+  static std::string Request(const std::string& id,
+                             const std::string& more = "") {
+    return absl::StrCat(
+        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key\r\n"
+        "Wisteriareel-Request-Id: ",
+        id, "\r\n", more, "Content-Length: 2\r\n\r\nhi");
+  }
+
+  boost::asio::io_context io_;
+  InMemoryTable table_{&io_};
+  const platform::MessageCodec codec_{};
+  std::unique_ptr<FixedSource> source_;
+  RouterSettings settings_;
+  NoLoadSource loads_{&io_};
+  std::unique_ptr<RouterDaemon> daemon_;
+  std::thread thread_;
+};
+
+inline std::string CompleteResponse(const std::string& id,
+                                    const std::string& body) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\nWisteriareel-Request-Id: ", id,
+                      "\r\nWisteriareel-Response-Seal: s\r\nContent-Length: ",
+                      body.size(), "\r\n\r\n", body);
+}
+
+}  // namespace wisteriareel
+
+#endif  // WISTERIAREEL_TEST_ROUTER_DAEMON_FIXTURE_H_
--- /dev/null
+++ b/test/router_hostile_target_test.cc
@@ -0,0 +1,165 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "test/raw_connection.h"
+#include "test/router_daemon_fixture.h"
+
+namespace wisteriareel {
+namespace {
+
+using ::testing::HasSubstr;
+using ::testing::Not;
+
+// Limit on what a target may send of a message that has no end. Larger than
+// what the buffers of a loopback connection hold.
+constexpr std::size_t kMaxEndlessBytes = 24 << 20;
+
+// Targets that break the protocol.
+class HostileTargetTest : public RouterDaemonTest {
+ protected:
+  // Sends `start` and then `more` again and again. Returns the number of bytes
+  // sent until the router closed the connection, or kMaxEndlessBytes.
+  static std::size_t SendEndlessly(int fd, const std::string& start,
+                                   const std::string& more) {
+    std::size_t sent = 0;
+    for (std::string bytes = start; sent < kMaxEndlessBytes;) {
+      const ssize_t n = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (n <= 0) return sent;
+      sent += static_cast<std::size_t>(n);
+      bytes = more;
+    }
+    return sent;
+  }
+
+  // Serves one request with an endless response and returns what the router
+  // responds. `sent` is set to the bytes that the target could send.
+  std::string ServeEndlessly(const std::string& start, const std::string& more,
+                             RouteKind kind, std::atomic<std::size_t>* sent) {
+    ScriptedTarget target([&](int fd) {
+      ScriptedTarget::ReadHead(fd);
+      *sent = SendEndlessly(fd, start, more);
+    });
+    Start(target.port(), kind);
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(Request("q1", "Connection: close\r\n"));
+    return caller.ReadAll();
+  }
+};
+
+const std::string kOkHead =
+    "HTTP/1.1 200 OK\r\nWisteriareel-Request-Id: q1\r\n"
+    "Wisteriareel-Response-Seal: s\r\n";
+
+// The response of the first request comes again after the second request was
+// written, without the id that would tell it apart.
+TEST_F(HostileTargetTest, ASecondCopyWithoutAnIdIsNotTheNextResponse) {
+  ScriptedTarget target([](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    char body[2];
+    read(fd, body, sizeof(body));
+    ScriptedTarget::Write(fd, CompleteResponse("q1", "first"));
+    // A new connection carries the second request if this one isn't used again.
+    if (ScriptedTarget::ReadHead(fd).empty()) return;
+    ScriptedTarget::Write(fd,
+                          "HTTP/1.1 200 OK\r\nWisteriareel-Response-Seal: s\r\n"
+                          "Content-Length: 5\r\n\r\nfirst");
+  });
+  Start(target.port(), RouteKind::kIdempotent);
+  {
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(Request("q1", "Connection: close\r\n"));
+    ASSERT_THAT(caller.ReadAll(), HasSubstr("first"));
+  }
+  RawConnection other(settings_.listen.callers.port);
+  other.Send(Request("q2", "Connection: close\r\n"));
+  const std::string response = other.ReadAll();
+  EXPECT_THAT(response, Not(HasSubstr("first")));
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 502"));
+  EXPECT_THAT(response, HasSubstr("may_have_run"));
+}
+
+// The same copy with its id, cut in two, before the second response.
+TEST_F(HostileTargetTest, ASecondCopyInTwoPiecesIsSkipped) {
+  ScriptedTarget target([](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    char body[2];
+    read(fd, body, sizeof(body));
+    const std::string first = CompleteResponse("q1", "first");
+    ScriptedTarget::Write(fd, first);
+    if (ScriptedTarget::ReadHead(fd).empty()) return;
+    read(fd, body, sizeof(body));
+    ScriptedTarget::Write(fd, first.substr(0, 40));
+    std::this_thread::yield();
+    ScriptedTarget::Write(fd, first.substr(40));
+    ScriptedTarget::Write(fd, CompleteResponse("q2", "second"));
+  });
+  Start(target.port(), RouteKind::kIdempotent);
+  {
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(Request("q1", "Connection: close\r\n"));
+    ASSERT_THAT(caller.ReadAll(), HasSubstr("first"));
+  }
+  RawConnection other(settings_.listen.callers.port);
+  other.Send(Request("q2", "Connection: close\r\n"));
+  const std::string response = other.ReadAll();
+  EXPECT_THAT(response, Not(HasSubstr("first")));
+  EXPECT_THAT(response, HasSubstr("second"));
+}
+
+TEST_F(HostileTargetTest, AnEndlessHeaderLineClosesTheConnection) {
+  std::atomic<std::size_t> sent = 0;
+  const std::string response =
+      ServeEndlessly("HTTP/1.1 200 OK\r\nX: ", std::string(1 << 14, 'x'),
+                     RouteKind::kNonIdempotent, &sent);
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 502"));
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
+TEST_F(HostileTargetTest, AnEndlessChunkExtensionClosesTheConnection) {
+  std::atomic<std::size_t> sent = 0;
+  const std::string response = ServeEndlessly(
+      kOkHead + "Transfer-Encoding: chunked\r\n\r\n1;",
+      std::string(1 << 14, 'x'), RouteKind::kNonIdempotent, &sent);
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 502"));
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
+TEST_F(HostileTargetTest, EndlessInterimResponsesCloseTheConnection) {
+  std::atomic<std::size_t> sent = 0;
+  std::string more;
+  for (int n = 0; n < 500; ++n) more += "HTTP/1.1 102 Processing\r\n\r\n";
+  const std::string response =
+      ServeEndlessly(more, more, RouteKind::kNonIdempotent, &sent);
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 502"));
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
+TEST_F(HostileTargetTest, AnEventWithoutAnEndClosesTheConnection) {
+  std::atomic<std::size_t> sent = 0;
+  const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+  const std::string response =
+      ServeEndlessly(kOkHead + "Transfer-Encoding: chunked\r\n\r\n", chunk,
+                     RouteKind::kStreaming, &sent);
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 502"));
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
+TEST_F(HostileTargetTest, ABodyThatGoesOnIsCutAtItsLength) {
+  std::atomic<std::size_t> sent = 0;
+  const std::string response = ServeEndlessly(
+      kOkHead + "Content-Length: 4\r\n\r\ndone", std::string(1 << 14, 'x'),
+      RouteKind::kNonIdempotent, &sent);
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 200"));
+  EXPECT_THAT(response, HasSubstr("\r\n\r\ndone"));
+  EXPECT_THAT(response, Not(HasSubstr("donex")));
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
+}  // namespace
+}  // namespace wisteriareel
--- a/test/router_tests.cmake
+++ b/test/router_tests.cmake
@@ -4,5 +4,6 @@
 wisteriareel_test(adapter_test LIBRARIES wisteriareel_adapter)
 wisteriareel_test(router_components_test LIBRARIES wisteriareel_router)
 wisteriareel_test(router_daemon_test LIBRARIES wisteriareel_adapter)
+wisteriareel_test(router_hostile_target_test LIBRARIES wisteriareel_adapter)
 wisteriareel_test(async_http_client_test LIBRARIES wisteriareel_runtime)
 wisteriareel_test(load_probe_test LIBRARIES wisteriareel_adapter)
