Split the ledger's rows, loan types and property test into files of their own

Read as a newcomer, one constant didn't grow with the number of instances: above 110 of them heartbeats would have stated no contact, since their interval exceeds it. Ruled out: nothing. Change: prepaid_ledger_rows, token_loan.h, fake_partition.h and forward_prepaid_ledger_property_test; the oldest contact that a heartbeat may state grows with the number of instances (the same up to 96).

--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "src/forward/route_config.h"
+#include "src/forward/token_loan.h"
 #include "wisteriareel/async_table.h"
 #include "wisteriareel/types.h"
 
@@ -58,75 +59,6 @@
                          const InheritedTimes&) = default;
 };
 
-// Why tokens are requested from another instance.
-enum class LoanKind : std::uint8_t {
-  // Requests wait for them.
-  kNeeded,
-  // The same, but the home instance doesn't respond: the lender takes its place
-  // for a while.
-  kNeededFromDeputy,
-  // The borrower wants to hold them for when it is cut off.
-  kSpare,
-  // The home instance has none left: the lender returns its spare tokens.
-  kReturn,
-};
-
-// A request to another instance to lend tokens.
-struct LoanRequest {
-  CustomerId customer;
-  Tokens amount;
-  // A smaller loan covers no waiting request.
-  Tokens min_amount;
-  // Tokens that the borrower holds already; stated for spare tokens.
-  Tokens held;
-  // Consumed by complete responses of the borrower and not yet reported to the
-  // platform. The lender reports them.
-  Tokens delivered;
-  LoanKind kind = LoanKind::kNeeded;
-  // The loans between a borrower and a lender are numbered, and each request
-  // states what the earlier ones brought, so that the lender takes back the
-  // tokens of responses that were lost. Empty if the request is no part of such
-  // a sequence.
-  std::string borrower_incarnation;
-  std::uint64_t sequence = 0;
-  // All tokens that the borrower received from the lender.
-  Tokens received;
-  // The platform can't grant the tokens. Any instance may lend any amount.
-  bool from_any_instance = false;
-
-  friend bool operator==(const LoanRequest&, const LoanRequest&) = default;
-};
-
-// What a borrower can expect from a lender that can't lend enough now.
-enum class LoanAvailability : std::uint8_t {
-  // The lender has requested more from the platform or from other instances and
-  // will have it shortly.
-  kSoon,
-  // The platform has no tokens left to grant, and no instance returned any.
-  kPoolEmpty,
-  // Complete responses consumed so much that the request can't be covered.
-  kExhausted,
-  // The lender can't reach the platform or isn't the customer's home instance.
-  kNone,
-};
-
-// The response to a request for a loan.
-struct Loan {
-  Tokens amount;
-  // Meaningful only if `amount` is too small.
-  LoanAvailability availability = LoanAvailability::kNone;
-
-  friend bool operator==(const Loan&, const Loan&) = default;
-};
-
-// Tokens that move permanently to another instance.
-struct TokenTransfer {
-  CustomerId customer;
-  Tokens amount;
-
-  friend bool operator==(const TokenTransfer&, const TokenTransfer&) = default;
-};
-
 // A transaction to send to the platform's table for a customer.
 struct LedgerTransaction {
   CustomerId customer;
@@ -169,6 +101,8 @@
  public:
   // Table of the rows. A customer's partition has its id as its name.
   static constexpr char kTable[] = "budgets";
+  // Prefix of the keys of the instances' rows.
+  static constexpr char kHolderPrefix[] = "holder/";
 
   explicit PrepaidLedger(PrepaidLedgerOptions options);
 
--- a/src/forward/prepaid_ledger_loans.cc
+++ b/src/forward/prepaid_ledger_loans.cc
@@ -46,7 +46,6 @@
 constexpr absl::Duration kSpareRetryInterval = absl::Milliseconds(200);
 // Spare tokens are requested when less than this share of the target is held.
 constexpr double kSpareRefillShare = 0.5;
-constexpr char kHolderPrefix[] = "holder/";
 
 }  // namespace
 
--- a/src/forward/prepaid_ledger_plan.cc
+++ b/src/forward/prepaid_ledger_plan.cc
@@ -6,9 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 #include "src/forward/prepaid_ledger.h"
 
 // The part of PrepaidLedger that decides how many tokens to hold, and plans and
@@ -16,8 +14,6 @@
 namespace wisteriareel {
 namespace {
 
-constexpr char kPoolRow[] = "pool";
-constexpr char kHolderPrefix[] = "holder/";
 // A home instance requests tokens when it holds less than this share of its
 // target.
 constexpr double kRefillShare = 0.85;
@@ -60,9 +56,6 @@
 constexpr absl::Duration kSpareLimitDelay = absl::Milliseconds(500);
 constexpr absl::Duration kLimitDelayPerInstance = absl::Milliseconds(10);
 constexpr absl::Duration kLimitDelayMargin = absl::Milliseconds(300);
-// A row of a build that wrote no growth: all tokens were usable after this.
-constexpr absl::Duration kDelayIfUnstated = absl::Milliseconds(2900);
-constexpr std::int64_t kGrowthIfUnstated = 1'000'000'000'000;
 // A home instance reports delivered tokens at this interval, so that an
 // exhausted budget is recognized.
 constexpr absl::Duration kReportInterval = absl::Seconds(2);
@@ -90,52 +83,8 @@
 constexpr absl::Duration kRecoverySpreadPerInstance = absl::Milliseconds(20);
 constexpr double kUrgentRecoveryShare = 0.25;
 
-// Decodes the leading fields of a row as decimal numbers. Fields are separated
-// by blanks; names follow the numbers.
-template <typename... Numbers>
-bool DecodeNumbers(const std::vector<std::string>& fields,
-                   Numbers*... numbers) {
-  std::size_t n = 0;
-  return fields.size() >= sizeof...(numbers) &&
-         (absl::SimpleAtoi(fields[n++], numbers) && ...);
-}
-
 }  // namespace
 
-PartitionRowKey PrepaidLedger::PoolKey(const CustomerId& id) {
-  return {.table = kTable, .partition = id.value(), .key = kPoolRow};
-}
-
-PartitionRowKey PrepaidLedger::HolderKey(const CustomerId& id) const {
-  return {.table = kTable,
-          .partition = id.value(),
-          .key = absl::StrCat(kHolderPrefix, options_.instance)};
-}
-
-std::string PrepaidLedger::EncodeHolding(const Holding& holding) const {
-  return absl::StrCat(holding.granted, " ", holding.settled, " ",
-                      holding.authorized, " ", holding.growth, " ",
-                      absl::ToInt64Milliseconds(holding.delay), " ",
-                      holding.planned_ms, " ", options_.incarnation);
-}
-
-std::optional<PrepaidLedger::Holding> PrepaidLedger::DecodeHolding(
-    const std::string& text) {
-  const std::vector<std::string> fields = absl::StrSplit(text, ' ');
-  Holding holding{.growth = kGrowthIfUnstated, .delay = kDelayIfUnstated};
-  if (!DecodeNumbers(fields, &holding.granted, &holding.settled,
-                     &holding.authorized)) {
-    return std::nullopt;
-  }
-  std::int64_t delay_ms = 0;
-  if (fields.size() >= 7 && absl::SimpleAtoi(fields[3], &holding.growth) &&
-      absl::SimpleAtoi(fields[4], &delay_ms) &&
-      absl::SimpleAtoi(fields[5], &holding.planned_ms)) {
-    holding.delay = absl::Milliseconds(delay_ms);
-  }
-  return holding;
-}
-
 bool PrepaidLedger::IsHome(const Account& account, absl::Time now) const {
   return account.is_home || now < account.deputy_until;
 }
@@ -379,54 +328,6 @@
   return transactions;
 }
 
-void PrepaidLedger::InheritUse(Account* account) {
-  const Holding& own = account->own;
-  absl::Duration gap = inherited_times_.gap;
-  if (inherited_times_.started_ms.has_value() && own.planned_ms > 0) {
-    gap = std::min(
-        gap, absl::Milliseconds(*inherited_times_.started_ms - own.planned_ms));
-  }
-  account->settled += own.settled;
-  account->written_off += own.LimitAfter(gap) - own.settled;
-  account->spare =
-      std::max<std::int64_t>(0, own.granted - UsedAmount(*account));
-}
-
-void PrepaidLedger::ApplyRows(Account* account,
-                              const PartitionTransaction& transaction,
-                              const std::vector<PartitionRow>& rows,
-                              absl::Time now) {
-  for (const PartitionRowCondition& condition : transaction.conditions) {
-    const bool is_pool = condition.key.key == kPoolRow;
-    const auto it = std::find_if(
-        rows.begin(), rows.end(),
-        [&](const PartitionRow& row) { return row.key == condition.key; });
-    const bool exists = it != rows.end();
-    if (is_pool) {
-      account->pool_known = true;
-      account->pool = {};
-      account->pool_version = exists ? it->version : 0;
-      const std::vector<std::string> fields =
-          absl::StrSplit(exists ? it->value : "0 0", ' ');
-      if (!DecodeNumbers(fields, &account->pool.granted,
-                         &account->pool.delivered)) {
-        // A pool row that can't be decoded grants nothing.
-        account->pool.granted = INT64_MAX / 2;
-      }
-      continue;
-    }
-    account->own_version = exists ? it->version : 0;
-    account->own =
-        exists ? DecodeHolding(it->value).value_or(Holding{}) : Holding{};
-    account->own.planned_at = now;
-    // The row of an earlier incarnation is inherited only once.
-    const bool own_row =
-        !exists || it->value.ends_with(" " + options_.incarnation);
-    if (!account->inherited && !own_row) InheritUse(account);
-    account->inherited = true;
-  }
-}
-
 void PrepaidLedger::RecordFailure(Account* account, absl::Time now) {
   account->platform_unavailable = true;
   account->backoff =
--- a/src/router/token_plane.cc
+++ b/src/router/token_plane.cc
@@ -1,5 +1,6 @@
 #include "src/router/token_plane.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -14,7 +15,9 @@
 // A heartbeat states the present time only if a write was acknowledged that
 // recently. Otherwise the limits would not grow while the platform is
 // unavailable.
-constexpr absl::Duration kMaxContactAge = absl::Milliseconds(1200);
+// Exceeds the interval of heartbeats, which grows with the number of instances.
+constexpr absl::Duration kMinMaxContactAge = absl::Milliseconds(1200);
+constexpr absl::Duration kMaxContactAgePerInstance = absl::Microseconds(12500);
 // Readings of the platform's clock are whole milliseconds.
 constexpr absl::Duration kClockResolution = absl::Milliseconds(1);
 
@@ -132,6 +135,7 @@
 }
 
 void TokenPlane::OnInstancesCounted(int count) {
+  instances_ = count;
   ledger_.SetInstances(count);
   UpdateHomeInstances();
   owner_->OnInstancesCounted(count);
@@ -171,8 +175,9 @@
   if (!commit.has_value() || !clock.has_value()) return std::nullopt;
   ledger_.RecordContact(commit->sent);
   const absl::Time now = scheduler_->Now();
-  if (now - commit->received > kMaxContactAge ||
-      !ledger_.IsWithinAuthorized()) {
+  const absl::Duration max_age =
+      std::max(kMinMaxContactAge, instances_ * kMaxContactAgePerInstance);
+  if (now - commit->received > max_age || !ledger_.IsWithinAuthorized()) {
     return std::nullopt;
   }
   // The limit doesn't grow from before the time that the heartbeat states. The
--- a/src/router/token_plane.h
+++ b/src/router/token_plane.h
@@ -120,6 +120,7 @@
   InstanceRegistry registry_;
   LedgerTransactionSender sender_;
   PeerLoans loans_;
+  int instances_ = 1;
   bool draining_ = false;
   bool returning_tokens_ = false;
 };
--- a/test/async_http_client_test.cc
+++ b/test/async_http_client_test.cc
@@ -81,8 +81,10 @@
   EXPECT_TRUE(ended);
 }
 
+// Larger than what the buffers of a loopback connection hold.
+constexpr std::size_t kMaxEndlessBytes = 24 << 20;
+
 TEST(AsyncHttpClientTest, AnEndlessChunkExtensionIsAFailure) {
-  constexpr std::size_t kMaxEndlessBytes = 24 << 20;
   std::size_t sent = 0;
   const auto reply = RequestFrom(absl::Seconds(20), [&sent](int fd) {
     Write(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;");
--- a/test/load_probe_test.cc
+++ b/test/load_probe_test.cc
@@ -109,6 +109,9 @@
   EXPECT_EQ(ReadFrom({.status = 200, .body = "no JSON"}), std::nullopt);
 }
 
+// More than the clients that are kept.
+constexpr int kEngines = 300;
+
 // Guards against requests that never end: when the number of clients reached
 // its maximum, all of them were destroyed with the requests in progress, and
 // the exchanges that waited for a report went on waiting.
@@ -118,7 +121,6 @@
   boost::asio::ip::tcp::acceptor silent(
       io, {boost::asio::ip::make_address_v4("127.0.0.1"), 0});
   platform::LoadClient loads(&io);
-  constexpr int kEngines = 300;
   int ended = 0;
   for (int n = 0; n < kEngines; ++n) {
     TargetEntry engine = Target(n);
--- a/test/token_fleet.cc
+++ b/test/token_fleet.cc
@@ -41,6 +41,8 @@
 constexpr absl::Duration kBalancerNotice = absl::Milliseconds(3500);
 constexpr absl::Duration kShutdownGrace = absl::Milliseconds(7600);
 constexpr std::uint16_t kPeerPort = 1;
+// Mean of the tokens that Fleet::DrawTokens returns.
+constexpr double kMeanTokens = 0.58 * 9190 + 0.42 * 1100;
 
 // Runs functions in the order of their times.
 class EventQueue {
@@ -357,8 +359,6 @@
   }
 
   void MakeBudgets() {
-    // Mean of DrawTokens.
-    constexpr double kMeanTokens = 0.58 * 9190 + 0.42 * 1100;
     config_.revision = Revision(1);
     for (int n = 0; n < options_.customers; ++n) {
       const double demand = weights_[static_cast<std::size_t>(n)] *
@@ -764,9 +764,9 @@
 void Process::OnTokensChanged(const CustomerId& customer) {
   const int index = Fleet::CustomerIndex(customer);
   std::deque<Waiting> waiting = std::exchange(waiting_, {});
-  for (Waiting& entry : waiting) {
+  for (const Waiting& entry : waiting) {
     if (entry.request.customer != index || !TryReserve(entry.request)) {
-      waiting_.push_back(std::move(entry));
+      waiting_.push_back(entry);
     }
   }
 }
