--- a/src/forward/prepaid_ledger_loans.cc
+++ b/src/forward/prepaid_ledger_loans.cc
@@ -46,7 +46,6 @@
 constexpr absl::Duration kSpareRetryInterval = absl::Milliseconds(200);
 // Spare tokens are requested when less than this share of the target is held.
 constexpr double kSpareRefillShare = 0.5;
-constexpr char kHolderPrefix[] = "holder/";
 
 }  // namespace
 
@@ -203,8 +202,8 @@
     const std::optional<Holding> holding = DecodeHolding(row.value);
     if (!holding.has_value()) continue;
     const std::int64_t spare = holding->granted - holding->authorized;
-    if (spare <= 0 || !is_reachable(std::string(name))) continue;
-    holders.emplace_back(spare, std::string(name));
+    const std::string holder(name);
+    if (spare > 0 && is_reachable(holder)) holders.emplace_back(spare, holder);
   }
   std::sort(holders.rbegin(), holders.rend());
   const double needed = std::max(
