--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -441,11 +441,12 @@
             std::vector<std::string>{"j"});
 }
 
+constexpr int kCustomers = 40;
+
 // Regression test: 74 instances sent up to 7,000 transactions per second while
 // the platform rejected them, one for each customer and instance without a
 // pause.
 TEST_F(PrepaidLedgerScenarioTest, AnOutageCostsFewerCallsThanNormalOperation) {
-  constexpr int kCustomers = 40;
   RouteConfig config{.revision = Revision(1)};
   for (int n = 0; n < kCustomers; ++n) {
     config.customers.push_back({.id = CustomerId(absl::StrCat("c", n)),
