Log the attempts that broke, with the segments of their prompts

Line 1306 names a request's last target, but not whether that target had begun its response, nor the segments of the prompt, so that the three hypotheses of docs/incidents/engines-crashed-by-one-prompt.md looked the same in the logs. Change: event 1309 for each connection that fails during a request; no logic. Measured: forward and adapter tests pass.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -39,6 +39,7 @@
   kRequestEnded = 1306,
   kRequestRetried = 1307,
   kRequestRefused = 1308,
+  kAttemptBroken = 1309,
 
   // 1400-1499 routing.
   kTargetEjected = 1400,
--- a/src/forward/event_splitter.cc
+++ b/src/forward/event_splitter.cc
@@ -1,6 +1,7 @@
 #include "src/forward/event_splitter.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -51,6 +52,7 @@
     rest.remove_prefix(end);
   }
   if (!events.empty()) pending_ = std::string(rest);
+  count_ += std::ssize(events);
   return events;
 }
 
--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -27,6 +27,9 @@
   // Appends `bytes` and returns the events that are complete now.
   std::vector<StreamEvent> Add(std::string_view bytes);
 
+  // Returns the number of events so far.
+  std::int64_t count() const { return count_; }
+
   // Returns true if the buffer holds the start of an incomplete event.
   bool HasPartial() const { return !pending_.empty(); }
 
@@ -35,6 +38,7 @@
 
  private:
   std::string pending_;
+  std::int64_t count_ = 0;
 };
 
 }  // namespace wisteriareel
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "wisteriareel/stable_hash.h"
 
 namespace wisteriareel {
@@ -349,6 +350,7 @@
 
 void Exchange::OnBroken(absl::Time now) {
   if (phase_ != Phase::kSent && phase_ != Phase::kReceivingResponse) return;
+  LogBrokenAttempt(now);
   delegate_->CancelAttempt();
   EndAttempt(AttemptOutcome::kIncomplete, now);
   verdict_ = Combine(verdict_, Verdict::kMayHaveRun);
@@ -356,6 +358,25 @@
   FailAttempt(Reason::kAnswerIncomplete, now);
 }
 
+void Exchange::LogBrokenAttempt(absl::Time now) const {
+  std::vector<std::string> shared;
+  const std::vector<PromptSegment>& segments = request_.info.prompt_segments;
+  for (std::size_t n = 0; n + 1 < segments.size(); ++n) {
+    shared.push_back(segments[n].id);
+  }
+  services_.log->Write(
+      EventId::kAttemptBroken, Severity::kInfo,
+      "the connection to the target failed during the request",
+      {{"request", request_.info.id.value()},
+       {"target", tried_.back().value()},
+       {"head", phase_ == Phase::kReceivingResponse ? "yes" : "no"},
+       {"events", absl::StrCat(events_.count())},
+       {"partial", events_.HasPartial() ? "yes" : "no"},
+       {"sent_ms", Ms(now - sent_at_)},
+       {"idle_ms", Ms(now - last_received_at_)},
+       {"segments", absl::StrJoin(shared, ",")}});
+}
+
 void Exchange::FailAttempt(Reason reason, absl::Time now) {
   if (head_sent_) {
     delegate_->AbortResponse();
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -192,6 +192,7 @@
   bool AcquireRetry(bool not_run, Reason reason, absl::Time now);
   void EndAttempt(AttemptOutcome outcome, absl::Time now);
   void RelayEvents(std::string_view bytes, absl::Time now);
+  void LogBrokenAttempt(absl::Time now) const;
   void FailAttempt(Reason reason, absl::Time now);
   void RefuseRequest(int status, Reason reason,
                      std::optional<absl::Duration> after, absl::Time now);
