--- a/test/router_daemon_fixture.h
+++ b/test/router_daemon_fixture.h
@@ -64,6 +64,7 @@
                             .value = write.value.value_or(""),
                             .version = version_};
       }
+      for (auto& poll : std::exchange(polls_, {})) poll();
     }
     boost::asio::post(*io_, [done = std::move(done), reply] { done(reply); });
   }
@@ -76,21 +77,41 @@
     boost::asio::post(
         *io_, [done = std::move(done), reply] { done(reply, LastReason()); });
   }
-  void PollChanges(const std::string& /*table*/, std::uint64_t /*version*/,
-                   absl::Duration /*wait*/, PollDone /*done*/) override {}
+  void PollChanges(const std::string& table, std::uint64_t version,
+                   absl::Duration /*wait*/, PollDone done) override {
+    RowsReply changes{.version = version_};
+    for (const auto& [key, row] : rows_) {
+      if (key.table == table && row.version > version) {
+        changes.rows.push_back(row);
+      }
+    }
+    if (changes.rows.empty()) {
+      polls_.push_back(
+          [this, table, version, done = std::move(done)]() mutable {
+            PollChanges(table, version, absl::ZeroDuration(), std::move(done));
+          });
+      return;
+    }
+    boost::asio::post(*io_, [done = std::move(done), changes] {
+      done({.outcome = PollOutcome::kChanges, .changes = changes},
+           LastReason());
+    });
+  }
 
  private:
   boost::asio::io_context* const io_;
+  // Polls without a change so far.
+  std::vector<std::function<void()>> polls_;
   std::uint64_t version_ = 0;
   std::map<PartitionRowKey, PartitionRow> rows_;
 };
 
-// Source with a constant configuration and one target.
+// Source with a constant configuration and constant targets.
 class FixedSource final : public DeploymentSource {
  public:
   FixedSource(boost::asio::io_context* io, RouteConfig config,
-              TargetEntry target)
-      : io_(io), config_(std::move(config)), target_(std::move(target)) {}
+              std::vector<TargetEntry> targets)
+      : io_(io), config_(std::move(config)), targets_(std::move(targets)) {}
 
   void ReadConfig(ConfigDone done) override {
     const PositionedConfig reading{
@@ -110,9 +131,7 @@
         });
   }
   void ListTargets(TargetsDone done) override {
-    boost::asio::post(*io_, [this, done = std::move(done)] {
-      done(std::vector<TargetEntry>{target_});
-    });
+    boost::asio::post(*io_, [this, done = std::move(done)] { done(targets_); });
   }
   std::optional<ParsedConfig> ParseConfig(
       const std::string& /*text*/, LastReason* /*reason*/) const override {
@@ -122,7 +141,7 @@
  private:
   boost::asio::io_context* const io_;
   const RouteConfig config_;
-  const TargetEntry target_;
+  const std::vector<TargetEntry> targets_;
 };
 
 // Load source that reports no load for any target.
@@ -188,46 +207,69 @@
 
 class RouterDaemonTest : public ::testing::Test {
  protected:
+  static RouteConfig MakeConfig(RouteKind kind) {
+    return {.revision = Revision(1),
+            .routes = {{.name = "r",
+                        .host = "h.example",
+                        .prefix = "/a/",
+                        .kind = kind,
+                        .timeout = absl::Seconds(20),
+                        .objective = absl::Seconds(10),
+                        .pause_objective = absl::Seconds(10),
+                        .services = {{.service = ServiceId("s")}}}},
+            .services = {{.id = ServiceId("s")}},
+            .customers = {{.id = CustomerId("c"), .api_keys = {"key"}}}};
+  }
+
+  static TargetEntry MakeTarget(const std::string& id, std::uint16_t port) {
+    return {.id = TargetId(id),
+            .service = ServiceId("s"),
+            .address = {.host = "127.0.0.1", .port = port},
+            .zone = ZoneId("a")};
+  }
+
   void Start(std::uint16_t target_port, RouteKind kind) {
-    const RouteConfig config{
-        .revision = Revision(1),
-        .routes = {{.name = "r",
-                    .host = "h.example",
-                    .prefix = "/a/",
-                    .kind = kind,
-                    .timeout = absl::Seconds(20),
-                    .objective = absl::Seconds(10),
-                    .pause_objective = absl::Seconds(10),
-                    .services = {{.service = ServiceId("s")}}}},
-        .services = {{.id = ServiceId("s")}},
-        .customers = {{.id = CustomerId("c"), .api_keys = {"key"}}}};
-    source_ = std::make_unique<FixedSource>(
-        &io_, config,
-        TargetEntry{.id = TargetId("t"),
-                    .service = ServiceId("s"),
-                    .address = {.host = "127.0.0.1", .port = target_port},
-                    .zone = ZoneId("a")});
-    settings_.instance = {.id = InstanceId("i"), .zone = ZoneId("a")};
-    settings_.listen.callers = {.host = "127.0.0.1", .port = FreePort()};
-    settings_.listen.ready = {.host = "127.0.0.1", .port = FreePort()};
-    settings_.listen.peers = {.host = "127.0.0.1", .port = FreePort()};
-    daemon_ = std::make_unique<RouterDaemon>(
-        settings_,
-        RouterDependencies{.codec = &codec_,
-                           .table = &table_,
-                           .source = source_.get(),
-                           .loads = &loads_},
-        &io_, DiscardEvents(), [] {});
-    LastReason reason;
-    ASSERT_TRUE(daemon_->Start(&reason)) << reason.detail();
-    thread_ = std::thread([this] { daemon_->Run(); });
+    StartInstances(1, MakeConfig(kind), {MakeTarget("t", target_port)});
+  }
+
+  // Starts `count` instances on one thread. `settings_` are those of the first.
+  void StartInstances(int count, const RouteConfig& config,
+                      const std::vector<TargetEntry>& targets) {
+    source_ = std::make_unique<FixedSource>(&io_, config, targets);
+    for (int n = 0; n < count; ++n) {
+      RouterSettings settings;
+      settings.instance = {
+          .id = InstanceId(n == 0 ? "i" : absl::StrCat("i", n)),
+          .zone = ZoneId("a")};
+      settings.listen.callers = {.host = "127.0.0.1", .port = FreePort()};
+      settings.listen.ready = {.host = "127.0.0.1", .port = FreePort()};
+      settings.listen.peers = {.host = "127.0.0.1", .port = FreePort()};
+      if (n == 0) settings_ = settings;
+      caller_ports_.push_back(settings.listen.callers.port);
+      ready_ports_.push_back(settings.listen.ready.port);
+      daemons_.push_back(std::make_unique<RouterDaemon>(
+          settings,
+          RouterDependencies{.codec = &codec_,
+                             .table = &table_,
+                             .source = source_.get(),
+                             .loads = &loads_},
+          &io_, DiscardEvents(), [] {}));
+      LastReason reason;
+      ASSERT_TRUE(daemons_.back()->Start(&reason)) << reason.detail();
+    }
+    thread_ = std::thread([this] { daemons_.front()->Run(); });
     // Ready once configuration and targets are known.
-    while (!absl::StartsWith(
-        SendRequestLine(settings_.listen.ready.port, "GET /ready"),
-        "HTTP/1.1 200")) {
+    for (const std::uint16_t port : ready_ports_) {
+      while (!absl::StartsWith(SendRequestLine(port, "GET /ready"),
+                               "HTTP/1.1 200")) {
+      }
     }
   }
 
+  std::uint16_t CallerPort(int instance) const {
+    return caller_ports_[static_cast<std::size_t>(instance)];
+  }
+
   void TearDown() override {
     io_.stop();
     if (thread_.joinable()) thread_.join();
@@ -255,7 +297,9 @@
   std::unique_ptr<FixedSource> source_;
   RouterSettings settings_;
   NoLoadSource loads_{&io_};
-  std::unique_ptr<RouterDaemon> daemon_;
+  std::vector<std::unique_ptr<RouterDaemon>> daemons_;
+  std::vector<std::uint16_t> caller_ports_;
+  std::vector<std::uint16_t> ready_ports_;
   std::thread thread_;
 };
 
