Send targets no requests after they say that they leave or ask for a pause

A target that leaves says so in its responses (Server-Leaving: 1), also before the list does; a target that answers 503 with Retry-After wants nothing for that time. Cause: the response's Retry-After was decoded and not used, the other header not known. Change: TargetPool keeps such notices by target, start time and address, beside the entries, so that they outlive an outage of the list; a restarted target is free of them. A target with a notice isn't queried for its load either. If all targets of a service asked for a pause, callers are told when the first accepts requests again. Notices of a response from another target at the same address don't count. A pause is at most one hour.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -48,6 +48,7 @@
   kTargetListed = 1402,
   kTargetListUnavailable = 1403,
   kTargetListRestored = 1404,
+  kTargetNotice = 1405,
 
   // 1500-1599 config.
   kConfigLoaded = 1500,
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -41,6 +41,7 @@
 constexpr absl::Duration kPromptProofTime = absl::Seconds(1);
 // Age below which a quarantine is new.
 constexpr absl::Duration kNewQuarantine = absl::Seconds(1);
+constexpr int kUnavailable = 503;
 constexpr std::string_view kAnswered = "answered";
 constexpr int kUrgencyPerCustomerPriority = 3;
 constexpr int kLeastUrgent = 9;
@@ -204,7 +205,10 @@
   if (RefuseIfQuarantined(now)) return;
   placement_ = services_.pool->Choose(GetRequirements(), now);
   if (!placement_.has_value()) {
-    RefuseRequest(503, Reason::kNoTargetAvailable, kBusyRetryAfter, now);
+    RefuseRequest(503, Reason::kNoTargetAvailable,
+                  services_.pool->TimeUntilAccepted(request_.service, now)
+                      .value_or(kBusyRetryAfter),
+                  now);
     return;
   }
   tried_.push_back(placement_->target.id);
@@ -289,9 +293,28 @@
   return true;
 }
 
+void Exchange::RecordNotice(const ResponseInfo& info, absl::Time now) {
+  TargetNotice notice{.leaving = info.leaving};
+  if (info.status == kUnavailable && info.retry_after.has_value()) {
+    notice.no_requests_until = now + *info.retry_after;
+  }
+  // Another target's response says nothing about the expected one.
+  if (notice == TargetNotice() || info.wrong_target) return;
+  if (!services_.pool->RecordNotice(placement_->target, notice, now)) return;
+  services_.log->Write(
+      EventId::kTargetNotice, Severity::kInfo,
+      "the target asks for no more requests",
+      {{"target", placement_->target.id.value()},
+       {"request", request_.info.id.value()},
+       {"leaving", info.leaving ? "yes" : "no"},
+       {"retry_after_ms",
+        info.retry_after.has_value() ? Ms(*info.retry_after) : "none"}});
+}
+
 void Exchange::OnHead(const ResponseInfo& info, absl::Time now) {
   if (phase_ != Phase::kSent) return;
   last_received_at_ = now;
+  RecordNotice(info, now);
   if (info.wrong_target || info.not_run) {
     EndAttempt(info.wrong_target ? AttemptOutcome::kUnreachable
                                  : AttemptOutcome::kRefused,
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -35,6 +35,8 @@
   bool sealed = false;
   // Time for which the target asks not to be sent requests.
   std::optional<absl::Duration> retry_after;
+  // The target leaves and accepts no new requests.
+  bool leaving = false;
 
   friend bool operator==(const ResponseInfo&, const ResponseInfo&) = default;
 };
@@ -204,6 +206,8 @@
   bool TryRetry(bool not_run, Reason reason, absl::Time now);
   // Like TryRetry, but only acquires the retry and doesn't send the request.
   bool AcquireRetry(bool not_run, Reason reason, absl::Time now);
+  // Records what the response says about further requests to its target.
+  void RecordNotice(const ResponseInfo& info, absl::Time now);
   void EndAttempt(AttemptOutcome outcome, absl::Time now);
   void RelayEvents(std::string_view bytes, absl::Time now);
   // Refuses the request, or ends its response, if its prompt is quarantined.
--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -47,6 +47,11 @@
 constexpr double kEjectionMargin = 0.4;
 constexpr absl::Duration kFirstEjection = absl::Milliseconds(800);
 constexpr absl::Duration kMaxEjection = absl::Seconds(6);
+// A target can't ask for no requests for longer than this.
+constexpr absl::Duration kMaxNoRequests = absl::Hours(1);
+// Time for which the notice of a target is kept that isn't listed. It may be
+// listed again after an outage of the list.
+constexpr absl::Duration kNoticeMemory = absl::Hours(1);
 
 double Decayed(double value, absl::Duration age, absl::Duration memory) {
   if (value == 0) return 0;
@@ -107,13 +112,68 @@
     }
     state.entry = entry;
   }
+  RemoveOldNotices(now);
   return changes;
 }
 
 bool TargetPool::IsUsable(const State& state, const ServiceId& service,
                           absl::Time now) const {
-  return state.entry.service == service && !state.entry.draining &&
-         (!state.missing || now < grace_until_);
+  if (state.entry.service != service || state.entry.draining ||
+      (state.missing && now >= grace_until_)) {
+    return false;
+  }
+  const TargetNotice* notice = FindNotice(state.entry);
+  return notice == nullptr ||
+         (!notice->leaving && notice->no_requests_until <= now);
+}
+
+const TargetNotice* TargetPool::FindNotice(const TargetEntry& target) const {
+  const auto it = notices_.find(target.id);
+  if (it == notices_.end() || it->second.started_ms != target.started_ms ||
+      it->second.address != target.address) {
+    return nullptr;
+  }
+  return &it->second.notice;
+}
+
+bool TargetPool::RecordNotice(const TargetEntry& target,
+                              const TargetNotice& notice, absl::Time now) {
+  TargetNotice merged = notice;
+  merged.no_requests_until =
+      std::min(merged.no_requests_until, now + kMaxNoRequests);
+  const TargetNotice* known = FindNotice(target);
+  if (known != nullptr) {
+    merged.leaving = merged.leaving || known->leaving;
+    merged.no_requests_until =
+        std::max(merged.no_requests_until, known->no_requests_until);
+  }
+  const bool changed = known == nullptr || merged != *known;
+  notices_[target.id] = {.notice = merged,
+                         .started_ms = target.started_ms,
+                         .address = target.address,
+                         .at = now};
+  return changed;
+}
+
+void TargetPool::RemoveOldNotices(absl::Time now) {
+  std::erase_if(notices_, [this, now](const auto& entry) {
+    return !targets_.contains(entry.first) &&
+           now - entry.second.at > kNoticeMemory;
+  });
+}
+
+std::optional<absl::Duration> TargetPool::TimeUntilAccepted(
+    const ServiceId& service, absl::Time now) const {
+  std::optional<absl::Duration> first;
+  for (const auto& [id, state] : targets_) {
+    if (state.entry.service != service || state.entry.draining) continue;
+    const TargetNotice* notice = FindNotice(state.entry);
+    if (notice == nullptr || notice->leaving) continue;
+    const absl::Duration wait = notice->no_requests_until - now;
+    if (wait <= absl::ZeroDuration()) continue;
+    first = std::min(first.value_or(absl::InfiniteDuration()), wait);
+  }
+  return first;
 }
 
 std::vector<TargetPool::Candidate> TargetPool::FindCandidates(
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -73,6 +73,16 @@
   friend bool operator==(const TargetChange&, const TargetChange&) = default;
 };
 
+// What a target says in a response about further requests of this instance.
+struct TargetNotice {
+  // The target leaves and accepts no new requests.
+  bool leaving = false;
+  // The target accepts no requests before this time.
+  absl::Time no_requests_until = absl::InfinitePast();
+
+  friend bool operator==(const TargetNotice&, const TargetNotice&) = default;
+};
+
 struct TargetPoolOptions {
   // Availability zone of this instance.
   ZoneId zone;
@@ -128,6 +138,16 @@
   std::optional<TargetChange> Finish(const Placement& placement,
                                      AttemptOutcome outcome, absl::Time now);
 
+  // Records a notice in a response of `target`. It holds until the target
+  // restarts, also while the target isn't listed. Returns true if it is new.
+  bool RecordNotice(const TargetEntry& target, const TargetNotice& notice,
+                    absl::Time now);
+
+  // Returns the time until the first target of `service` accepts requests again
+  // by its notice, or nullopt if none will.
+  std::optional<absl::Duration> TimeUntilAccepted(const ServiceId& service,
+                                                  absl::Time now) const;
+
   // Returns true once a listing was applied.
   bool listed() const { return listed_; }
 
@@ -164,6 +184,14 @@
     absl::flat_hash_map<std::string, absl::Time> sent_prefixes;
   };
 
+  // A notice and the target that sent it, until its restart.
+  struct RecordedNotice {
+    TargetNotice notice;
+    std::int64_t started_ms = 0;
+    Endpoint address;
+    absl::Time at;
+  };
+
   // A target that can accept a request, and its rendezvous rank for the
   // request's shared prefix. The target with the highest rank is the affinity
   // target.
@@ -187,6 +215,9 @@
                            bool is_affinity_target, absl::Time now) const;
   bool IsUsable(const State& state, const ServiceId& service,
                 absl::Time now) const;
+  // Returns the notice of the target, or null if there is none.
+  const TargetNotice* FindNotice(const TargetEntry& target) const;
+  void RemoveOldNotices(absl::Time now);
   std::vector<Candidate> FindCandidates(
       const PlacementRequirements& requirements, absl::Time now);
   void RecordSentPrefix(State* state, const PlacementRequirements& requirements,
@@ -203,6 +234,7 @@
   std::optional<double> mean_prefill_ms_;
   std::optional<double> mean_reported_ms_;
   std::map<TargetId, State> targets_;
+  std::map<TargetId, RecordedNotice> notices_;
 };
 
 }  // namespace wisteriareel
--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -127,6 +127,19 @@
     exchange_->OnBroken(BrokenCause::kClosed, now);
   }
 
+  void SetPrompt() { info_.prompt_segments = {{.id = "dead"}, {.id = "own"}}; }
+
+  // Quarantines the prompt by crashes at `at`.
+  void QuarantinePrompt(absl::Time at) {
+    SetPrompt();
+    for (int n = 0; n < 3; ++n) {
+      quarantine_.RecordCrash({.id = RequestId(absl::StrCat("c", n)),
+                               .prompt_segments = info_.prompt_segments},
+                              {.id = TargetId(absl::StrCat("crashed", n))},
+                              /*response_begun=*/true, at);
+    }
+  }
+
   static std::string Event(int id) {
     return absl::StrCat("id: ", id, "\ndata: x\n\n");
   }
@@ -264,6 +277,110 @@
   EXPECT_THAT(delegate_.attempts, SizeIs(3));
 }
 
+// A target may say so in any response, also one that is replaced by a retry.
+TEST_F(ExchangeTest, ATargetThatSaysItLeavesGetsNoFurtherRequest) {
+  for (const ResponseInfo& info :
+       {ResponseInfo{.status = 200, .leaving = true},
+        ResponseInfo{.status = 404, .leaving = true},
+        ResponseInfo{.status = 503, .not_run = true, .leaving = true}}) {
+    pool_.ApplyListing({{.id = TargetId(absl::StrCat("t", info.status)),
+                         .service = kService,
+                         .zone = ZoneId("a")}},
+                       kStart);
+    delegate_ = FakeDelegate();
+    Start();
+    ASSERT_THAT(delegate_.attempts, SizeIs(1));
+    exchange_->OnHead(info, kStart);
+    EXPECT_EQ(pool_.CountUsable(kService, kStart), 0) << info.status;
+    delegate_ = FakeDelegate();
+    Start();
+    EXPECT_THAT(delegate_.attempts, SizeIs(0));
+  }
+}
+
+TEST_F(ExchangeTest, ATargetGetsNoRequestForTheTimeOfItsRefusal) {
+  ListTargets(1);
+  Start();
+  exchange_->OnHead(
+      {.status = 503, .not_run = true, .retry_after = absl::Milliseconds(2500)},
+      kStart);
+  delegate_ = FakeDelegate();
+  Start();
+  EXPECT_THAT(delegate_.attempts, SizeIs(0));
+  ASSERT_TRUE(delegate_.sent_refusal.has_value());
+  EXPECT_EQ(delegate_.sent_refusal->status, 503);
+  EXPECT_EQ(delegate_.sent_refusal->verdict, Verdict::kNotRun);
+  EXPECT_EQ(delegate_.sent_refusal->retry_after, absl::Milliseconds(2500));
+  EXPECT_EQ(pool_.CountUsable(kService, kStart + absl::Milliseconds(2500)), 1);
+}
+
+TEST_F(ExchangeTest, ARetryAfterWithoutARefusalHasNoEffect) {
+  ListTargets(1);
+  Start();
+  exchange_->OnHead({.status = 200, .retry_after = absl::Seconds(9)}, kStart);
+  EXPECT_EQ(pool_.CountUsable(kService, kStart), 1);
+}
+
+TEST_F(ExchangeTest, ANoticeOfAnotherTargetAtTheAddressHasNoEffect) {
+  ListTargets(1);
+  Start();
+  exchange_->OnHead({.status = 421, .wrong_target = true, .leaving = true},
+                    kStart);
+  EXPECT_EQ(pool_.CountUsable(kService, kStart + absl::Seconds(30)), 1);
+}
+
+// The prompt of a request that is refused isn't sent, and its caller is told
+// when the quarantine ends.
+TEST_F(ExchangeTest, AQuarantinedPromptIsRefusedAtOnceAsNotRun) {
+  QuarantinePrompt(kStart - absl::Minutes(1));
+  StartAtEngine();
+  EXPECT_THAT(delegate_.queried, SizeIs(0));
+  ASSERT_TRUE(delegate_.sent_refusal.has_value());
+  EXPECT_EQ(delegate_.sent_refusal->status, 503);
+  EXPECT_EQ(delegate_.sent_refusal->reason, Reason::kPromptQuarantined);
+  EXPECT_EQ(delegate_.sent_refusal->verdict, Verdict::kNotRun);
+  EXPECT_EQ(delegate_.sent_refusal->retry_after, absl::Minutes(9));
+}
+
+TEST_F(ExchangeTest, ARequestInProgressIsEndedWhenItsPromptIsQuarantined) {
+  SetPrompt();
+  StartAtEngine();
+  exchange_->OnLoads(kStart);
+  ASSERT_TRUE(delegate_.open);
+  QuarantinePrompt(kStart);
+  exchange_->OnPromptQuarantined(kStart);
+  EXPECT_FALSE(delegate_.open);
+  ASSERT_TRUE(delegate_.sent_refusal.has_value());
+  EXPECT_EQ(delegate_.sent_refusal->status, 502);
+  EXPECT_EQ(delegate_.sent_refusal->verdict, Verdict::kMayHaveRun);
+}
+
+TEST_F(ExchangeTest, AStreamThatHasEventsGoesOnWhenItsPromptIsQuarantined) {
+  UseStreamingRoute(/*resumable=*/true);
+  SetPrompt();
+  StartAtEngine();
+  exchange_->OnLoads(kStart);
+  exchange_->OnHead({.status = 200}, kStart);
+  exchange_->OnBody(Event(1), kStart);
+  QuarantinePrompt(kStart);
+  exchange_->OnPromptQuarantined(kStart);
+  EXPECT_TRUE(delegate_.open);
+  exchange_->OnEnd(kStart);
+  EXPECT_TRUE(delegate_.finished);
+}
+
+TEST_F(ExchangeTest, APromptWhoseTargetCrashedIsNotSentToAnother) {
+  UseStreamingRoute(/*resumable=*/true);
+  SetPrompt();
+  StartAtEngine();
+  exchange_->OnLoads(kStart);
+  exchange_->OnHead({.status = 200}, kStart);
+  BreakConnection(kStart);
+  EXPECT_THAT(delegate_.attempts, SizeIs(1));
+  ASSERT_TRUE(delegate_.sent_refusal.has_value());
+  EXPECT_EQ(delegate_.sent_refusal->status, 502);
+}
+
 TEST_F(ExchangeTest, AServerErrorIsRelayedWhenNoRetryIsLeft) {
   route_.attempts = 1;
   ListTargets(2);
--- a/test/forward_target_pool_test.cc
+++ b/test/forward_target_pool_test.cc
@@ -314,6 +314,64 @@
   EXPECT_EQ(pool.CountUsable(ServiceId("chat"), kStart), 6);
 }
 
+TEST(TargetPoolTest, ATargetThatSaysItLeavesGetsNoRequests) {
+  TargetPool pool({.zone = ZoneId("a")});
+  const std::vector<TargetEntry> targets = MakeTargets(1);
+  pool.ApplyListing(targets, kStart);
+  EXPECT_TRUE(pool.RecordNotice(targets[0], {.leaving = true}, kStart));
+  EXPECT_FALSE(pool.RecordNotice(targets[0], {.leaving = true}, kStart));
+  const PlacementRequirements requirements = MakeRequirements("p");
+  EXPECT_EQ(pool.Choose(requirements, kStart + absl::Hours(2)), std::nullopt);
+  EXPECT_THAT(pool.TargetsToQuery(requirements, kStart), IsEmpty());
+  EXPECT_EQ(pool.CountUsable(ServiceId("chat"), kStart), 0);
+  EXPECT_EQ(pool.TimeUntilAccepted(ServiceId("chat"), kStart), std::nullopt);
+}
+
+// The list loses the target during an outage of the platform and has it again.
+TEST(TargetPoolTest, ALeavingTargetThatIsListedAgainGetsNoRequests) {
+  TargetPool pool({.zone = ZoneId("a")});
+  const std::vector<TargetEntry> targets = MakeTargets(1);
+  pool.ApplyListing(targets, kStart);
+  pool.RecordNotice(targets[0], {.leaving = true}, kStart);
+  pool.ApplyListing({}, kStart + absl::Seconds(1));
+  pool.ApplyListing(targets, kStart + absl::Seconds(2));
+  EXPECT_EQ(pool.Choose(MakeRequirements("p"), kStart + absl::Seconds(2)),
+            std::nullopt);
+}
+
+TEST(TargetPoolTest, ATargetThatLeftAndStartsAgainGetsRequests) {
+  TargetPool pool({.zone = ZoneId("a")});
+  std::vector<TargetEntry> targets = MakeTargets(1);
+  targets[0].started_ms = 1;
+  pool.ApplyListing(targets, kStart);
+  pool.RecordNotice(targets[0], {.leaving = true}, kStart);
+  targets[0].started_ms = 2;
+  pool.ApplyListing(targets, kStart + absl::Seconds(2));
+  EXPECT_TRUE(pool.Choose(MakeRequirements("p"), kStart + absl::Seconds(2))
+                  .has_value());
+}
+
+TEST(TargetPoolTest, ATargetGetsNoRequestsForTheTimeThatItAsksFor) {
+  TargetPool pool({.zone = ZoneId("a")});
+  const std::vector<TargetEntry> targets = MakeTargets(2);
+  pool.ApplyListing(targets, kStart);
+  const absl::Time until = kStart + absl::Seconds(7);
+  for (const TargetEntry& target : targets) {
+    pool.RecordNotice(target, {.no_requests_until = until}, kStart);
+  }
+  // A shorter time that comes later doesn't replace it.
+  pool.RecordNotice(targets[0], {.no_requests_until = kStart}, kStart);
+  pool.ApplyListing({}, kStart + absl::Seconds(1));
+  pool.ApplyListing(targets, kStart + absl::Seconds(2));
+  const PlacementRequirements requirements = MakeRequirements("p");
+  EXPECT_EQ(pool.Choose(requirements, until - absl::Milliseconds(1)),
+            std::nullopt);
+  EXPECT_EQ(pool.TimeUntilAccepted(ServiceId("chat"), kStart),
+            absl::Seconds(7));
+  EXPECT_TRUE(pool.Choose(requirements, until).has_value());
+  EXPECT_EQ(pool.TimeUntilAccepted(ServiceId("chat"), until), std::nullopt);
+}
+
 TEST(TargetPoolTest, ARestartUnderTheSameIdIsReported) {
   TargetPool pool({.zone = ZoneId("a")});
   std::vector<TargetEntry> targets = MakeTargets(2);
--- a/test/router_daemon_test.cc
+++ b/test/router_daemon_test.cc
@@ -165,5 +165,49 @@
   thread_.join();
 }
 
+// A target that answers all requests with `response` and counts them.
+class CountingTarget {
+ public:
+  explicit CountingTarget(const std::string& response)
+      : target_([this, response](int fd) {
+          ScriptedTarget::ReadHead(fd);
+          ++requests_;
+          ScriptedTarget::Write(fd, response);
+        }) {}
+
+  std::uint16_t port() const { return target_.port(); }
+  int requests() const { return requests_; }
+
+ private:
+  std::atomic<int> requests_ = 0;
+  ScriptedTarget target_;
+};
+
+TEST_F(RouterDaemonTest, ALeavingTargetGetsNoRequestAfterItsResponse) {
+  CountingTarget target(
+      "HTTP/1.1 200 OK\r\nWisteriareel-Response-Seal: s\r\n"
+      "Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok");
+  Start(target.port(), RouteKind::kIdempotent);
+  RawConnection caller(settings_.listen.callers.port);
+  caller.Send(Request("q1"));
+  EXPECT_THAT(caller.ReadUntil("ok"), HasSubstr("HTTP/1.1 200"));
+  caller.Send(Request("q2", "Connection: close\r\n"));
+  EXPECT_THAT(caller.ReadAll(), HasSubstr("HTTP/1.1 503"));
+  EXPECT_EQ(target.requests(), 1);
+}
+
+TEST_F(RouterDaemonTest, ATargetGetsNoRequestForTheTimeOfItsRefusal) {
+  CountingTarget target(
+      "HTTP/1.1 503 Busy\r\nWisteriareel-Not-Executed: 1\r\n"
+      "Retry-After: 60\r\nContent-Length: 0\r\n\r\n");
+  Start(target.port(), RouteKind::kIdempotent);
+  for (const char* id : {"q1", "q2", "q3"}) {
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(Request(id, "Connection: close\r\n"));
+    EXPECT_THAT(caller.ReadAll(), HasSubstr("HTTP/1.1 503"));
+  }
+  EXPECT_EQ(target.requests(), 1);
+}
+
 }  // namespace
 }  // namespace wisteriareel
