--- a/src/runtime/async_http_client.cc
+++ b/src/runtime/async_http_client.cc
@@ -22,7 +22,6 @@
 using Socket = asio::ip::tcp::socket;
 
 constexpr std::size_t kMaxIdleConnections = 4;
-constexpr std::uint64_t kMaxResponseBytes = 64 << 20;
 // Maximum number of received bytes that the parser has not consumed, such as a
 // chunk extension without an end.
 constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
@@ -62,7 +61,7 @@
     timeout_ = request.timeout;
     deadline_ = std::chrono::steady_clock::now() +
                 absl::ToChronoMilliseconds(kMaxResponseTime);
-    parser_.body_limit(kMaxResponseBytes);
+    parser_.body_limit(request.max_response_bytes);
     ArmTimer();
     if (!idle_->sockets.empty()) {
       socket_ = std::move(idle_->sockets.back());
--- a/src/runtime/async_http_client.h
+++ b/src/runtime/async_http_client.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAREEL_SRC_RUNTIME_ASYNC_HTTP_CLIENT_H_
 #define WISTERIAREEL_SRC_RUNTIME_ASYNC_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,6 +36,7 @@
     // Longest time without data from the endpoint. A response that keeps
     // arriving isn't cut off: a large one takes seconds on a slow link.
     absl::Duration timeout;
+    std::size_t max_response_bytes = 64 << 20;
   };
 
   // `io` must outlive the client.
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -1,8 +1,11 @@
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
 #include "platform/load_client.h"
@@ -120,6 +123,89 @@
   }
 }
 
+std::string TargetWith(const std::string& name, const std::string& value) {
+  const std::map<std::string, std::string> fields = {
+      {"service", R"("s")"},
+      {"address", R"("10.0.0.9:80")"},
+      {"zone", R"("a")"},
+      {"slots", "64"},
+      {"state", R"("ready")"}};
+  std::string text = absl::StrCat("{\"", name, "\":", value);
+  for (const auto& [key, field] : fields) {
+    if (key != name) absl::StrAppend(&text, ",\"", key, "\":", field);
+  }
+  return text + "}";
+}
+
+// Regression test: an instance sent requests to its own port when an address
+// wasn't a number, and computed with whatever a number was cut to.
+TEST(TargetCodecTest, AnOddEntryNamesNoTarget) {
+  ASSERT_TRUE(DecodeTarget("i", TargetWith("slots", "64")).has_value());
+  for (const auto& [name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"address", R"("a.example:80")"},
+           {"address", R"("10.0.0.9:65536")"},
+           {"address", R"("10.0.0.9:-1")"},
+           {"address", R"("10.0.0.9:80x")"},
+           {"address", R"("10.0.0.9:99999999999999999999")"},
+           {"address", R"("10.0.0.999:80")"},
+           {"address", R"("0.0.0.0:80")"},
+           {"slots", "0"},
+           {"slots", "-1"},
+           {"slots", "4294967360"},
+           {"slots", "1e999"},
+           {"slots", "99999999999999999999999"},
+           {"cold_remaining_ms", "1e999"},
+           {"cold_remaining_ms", "1e300"},
+           {"cold_remaining_ms", "-5"},
+           {"cold_remaining_ms", "[]"},
+           {"born", "1.5"},
+           {"born", "18446744073709551615"},
+           {"born", R"("x")"}}) {
+    EXPECT_EQ(DecodeTarget("i", TargetWith(name, value)), std::nullopt)
+        << name << " " << value;
+  }
+  EXPECT_EQ(DecodeTarget("a\r\nX: y", TargetWith("slots", "64")), std::nullopt);
+  EXPECT_EQ(DecodeTarget("", TargetWith("slots", "64")), std::nullopt);
+}
+
+TEST(TargetCodecTest, ADeeplyNestedEntryIsRejected) {
+  for (const char* open : {"[", "{\"a\":"}) {
+    std::string nested;
+    while (nested.size() < (64 << 10)) nested += open;
+    EXPECT_EQ(DecodeTarget("i", nested), std::nullopt);
+    EXPECT_EQ(DecodeTarget("i", TargetWith("x", nested)), std::nullopt);
+    const std::string closed =
+        std::string(30000, '[') + std::string(30000, ']');
+    // The fields that are known are sound.
+    EXPECT_TRUE(DecodeTarget("i", TargetWith("x", closed)).has_value());
+  }
+}
+
+TEST(LoadCodecTest, AnOddReportIsRejected) {
+  for (const char* text :
+       {R"({"queued":1e300,"running":1,"kv_used":1,"kv_total":2})",
+        R"({"queued":-1,"running":1,"kv_used":1,"kv_total":2})",
+        R"({"queued":99999999999,"running":1,"kv_used":1,"kv_total":2})",
+        R"({"queued":1,"running":1,"kv_used":1,"kv_total":1e999})"}) {
+    EXPECT_EQ(DecodeLoad(text), std::nullopt) << text;
+  }
+}
+
+// Regression test: one row of another type than expected made the whole listing
+// malformed, so that instances didn't follow it any more.
+TEST(StoreCodecTest, ARowOfOtherTypesLeavesTheOthersReadable) {
+  const auto page = DecodeRows(R"({"ver":9,"rows":[
+      {"table":1,"part":[],"key":{},"value":"eA==","ver":"x"},
+      7, null, [], {"table":"t","part":"","key":"k","value":5,"ver":3},
+      {"table":"t","part":"","key":"bad","value":"*","ver":4},
+      {"table":"t","part":"","key":"good","value":"eA==","ver":5}]})");
+  ASSERT_TRUE(page.has_value());
+  ASSERT_FALSE(page->rows.rows.empty());
+  EXPECT_EQ(page->rows.rows.back().key.key, "good");
+  EXPECT_EQ(page->rows.rows.back().value, "x");
+}
+
 TEST(StoreCodecTest, EncodesATransactionWithConditionsAndValues) {
   const StoreRequest request =
       EncodeCommit({.conditions = {{.key = {"t", "p", "k"}, .version = 3}},
@@ -243,6 +329,24 @@
   EXPECT_FALSE(MessageCodec().IsResponseTo(head, RequestId("b")));
 }
 
+TEST(MessageCodecTest, DecodesWhatAServerSaysAboutFurtherRequests) {
+  const MessageCodec codec;
+  ResponseHead head;
+  head.result(503);
+  EXPECT_FALSE(codec.DecodeResponse(head).leaving);
+  EXPECT_EQ(codec.DecodeResponse(head).retry_after, std::nullopt);
+  head.set("Server-Leaving", "1");
+  head.set("Retry-After", "1.5");
+  EXPECT_TRUE(codec.DecodeResponse(head).leaving);
+  EXPECT_EQ(codec.DecodeResponse(head).retry_after, absl::Milliseconds(1500));
+  for (const char* text : {"-1", "x", "", "nan"}) {
+    head.set("Retry-After", text);
+    EXPECT_EQ(codec.DecodeResponse(head).retry_after, std::nullopt) << text;
+  }
+  head.set("Server-Leaving", "0");
+  EXPECT_FALSE(codec.DecodeResponse(head).leaving);
+}
+
 TEST(MessageCodecTest, ARefusalStatesRetryAfter) {
   const ResponseHead head = MessageCodec().EncodeRefusal(
       {.status = 503, .retry_after = absl::Milliseconds(250)}, RequestId("a"));
