Tell callers that a budget is exhausted once all of it is used

Cause: 402 needs complete responses to have used the budget. Change: when no instance holds tokens that it could return, up to 3 in 100 of the budget may be used by incomplete responses.

--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -12,6 +12,10 @@
 namespace wisteriareel {
 namespace {
 
+// Share of a budget that may have been used for incomplete responses when the
+// budget counts as exhausted.
+constexpr double kMaxIncompleteShare = 0.03;
+
 // Time constant of the average of demand.
 constexpr absl::Duration kDemandMemory = absl::Seconds(4);
 // Weight of a new request in the mean size of requests.
@@ -168,7 +172,7 @@
             : mean_request_ + kMeanRequestWeight * (size - mean_request_);
     return ReserveResult::kReserved;
   }
-  if (IsExhausted(account, amount)) return ReserveResult::kExhausted;
+  if (IsExhausted(account, amount, now)) return ReserveResult::kExhausted;
   const ReserveResult result = HandleShortfall(&account, amount, now);
   if (result != ReserveResult::kWait) return result;
   account.wanted += amount;
@@ -178,11 +182,17 @@
   return result;
 }
 
-bool PrepaidLedger::IsExhausted(const Account& account, std::int64_t amount) {
-  return account.pool_known && account.prepaid->value() -
-                                       account.pool.delivered -
-                                       account.unreported <
-                                   amount;
+bool PrepaidLedger::IsExhausted(const Account& account, std::int64_t amount,
+                                absl::Time now) {
+  if (!account.pool_known) return false;
+  const std::int64_t prepaid = account.prepaid->value();
+  const std::int64_t undelivered =
+      prepaid - account.pool.delivered - account.unreported;
+  if (undelivered < amount) return true;
+  // All tokens are used, a few of them for incomplete responses.
+  return now < account.returnable_until && account.returnable < amount &&
+         static_cast<double>(undelivered - amount) <
+             kMaxIncompleteShare * static_cast<double>(prepaid);
 }
 
 ReserveResult PrepaidLedger::HandleShortfall(Account* account,
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -329,6 +329,10 @@
     absl::Time next_gathering = absl::InfinitePast();
     // Before this time returned tokens may still arrive in the pool.
     absl::Time gathered_until = absl::InfinitePast();
+    // Tokens that other instances could return, as far as is known, and the
+    // time until which that counts.
+    std::int64_t returnable = 0;
+    absl::Time returnable_until = absl::InfinitePast();
     // Tokens that this instance borrowed to hold them, as far as it still does.
     std::int64_t spare = 0;
     // No spare tokens are requested before this time; unset until the number of
@@ -395,7 +399,10 @@
   bool CanTransact(const Account& account, absl::Time now) const;
   bool IsPlatformUnavailable(const Account& account) const;
   // Returns true if complete responses left less than `amount`.
-  static bool IsExhausted(const Account& account, std::int64_t amount);
+  // Returns true if the customer's tokens don't cover a request of `amount`,
+  // and never will unless the budget grows.
+  static bool IsExhausted(const Account& account, std::int64_t amount,
+                          absl::Time now);
   // Returns the tokens of waiting requests that the platform, not another
   // instance, is to provide.
   std::int64_t WantedFromPool(const Account& account, absl::Time now) const;
--- a/src/forward/prepaid_ledger_loans.cc
+++ b/src/forward/prepaid_ledger_loans.cc
@@ -114,7 +114,7 @@
     return AuthorizeReturn(&account, now);
   }
   if (!IsHome(account, now)) return {};
-  if (!spare && IsExhausted(account, min_amount)) {
+  if (!spare && IsExhausted(account, min_amount, now)) {
     return {.amount = Tokens(0), .availability = LoanAvailability::kExhausted};
   }
   account.wanted += wanted;
@@ -193,6 +193,7 @@
   if (!rows.has_value()) return names;
   // The tokens that each instance holds and doesn't need at once.
   std::vector<std::pair<std::int64_t, std::string>> holders;
+  std::int64_t returnable = 0;
   for (const PartitionRow& row : *rows) {
     absl::string_view name = row.key.key;
     if (!absl::ConsumePrefix(&name, kHolderPrefix) ||
@@ -203,6 +204,7 @@
     if (!holding.has_value()) continue;
     const std::int64_t spare = holding->granted - holding->authorized;
     const std::string holder(name);
+    if (spare > 0) returnable += spare;
     if (spare > 0 && is_reachable(holder)) holders.emplace_back(spare, holder);
   }
   std::sort(holders.rbegin(), holders.rend());
@@ -219,6 +221,9 @@
   if (sum < static_cast<double>(account.min_wanted)) names.clear();
   if (names.empty()) {
     account.next_gathering = now + kFruitlessGatheringInterval;
+    account.returnable = returnable;
+    // Still counts when the next gathering has completed.
+    account.returnable_until = now + 2 * kFruitlessGatheringInterval;
     return names;
   }
   account.gathered_until = now + kGatheringTime;
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -14,6 +14,9 @@
 namespace wisteriareel {
 namespace {
 
+using ::testing::IsEmpty;
+using ::testing::SizeIs;
+
 // The previous incarnation may have run for any time after its last contact.
 constexpr absl::Duration kUnknownGap = absl::InfiniteDuration();
 
@@ -516,5 +519,36 @@
   }
 }
 
+// Regression test: after all tokens were used, a few of them for incomplete
+// responses, callers were told for the rest of the day to come back.
+TEST_F(PrepaidLedgerScenarioTest, ABudgetThatIsAllUsedIsExhausted) {
+  const auto ledger = MakeLedger("1", kUnknownGap);
+  const auto use = [&](Tokens tokens, bool complete) {
+    ledger->Reserve(kCustomer, tokens, now_);
+    CommitTransactions(ledger.get());
+    ASSERT_EQ(ledger->Reserve(kCustomer, tokens, now_),
+              ReserveResult::kReserved);
+    ledger->Settle(kCustomer, tokens, tokens, complete);
+    CommitTransactions(ledger.get());
+  };
+  use(Tokens(97500), /*complete=*/true);
+  use(Tokens(2500), /*complete=*/false);
+  const Tokens wanted(1000);
+  ledger->Reserve(kCustomer, wanted, now_);
+  CommitTransactions(ledger.get());
+  // Other instances may hold tokens until their rows were read.
+  EXPECT_EQ(ledger->Lend(Needed(wanted), now_).availability,
+            LoanAvailability::kSoon);
+  ledger->Reserve(kCustomer, wanted, now_);
+  ASSERT_THAT(ledger->TakeGatherings(now_), SizeIs(1));
+  EXPECT_THAT(ledger->CompleteGathering(kCustomer, std::vector<PartitionRow>{},
+                                        IsReachable, now_),
+              IsEmpty());
+  EXPECT_EQ(ledger->Reserve(kCustomer, wanted, now_),
+            ReserveResult::kExhausted);
+  EXPECT_EQ(ledger->Lend(Needed(wanted), now_).availability,
+            LoanAvailability::kExhausted);
+}
+
 }  // namespace
 }  // namespace wisteriareel
