Relay only events into a stream, and take no lost connection for its end

Callers saw, at similar systems: an error's text or head in the middle of their stream, or a stream that ended as if it were complete. Shown here by tests on the code before: a continuation answered with 204, 206 or 200 with another content type was relayed into the stream; so was the head of a second response within a body without a length; a continuation without a length whose connection ended before any event ended the stream as complete. A 4xx or 5xx answer wasn't relayed, also before; the test keeps that. Change: ResponseInfo says whether the body ends with its connection and whether it is something else than a stream. A continuation needs status 200; each line of an event must be a comment or a field, else the response counts as broken and what came before is delivered; an end without a mark counts only after an event. An end that is marked, without an event, completes a stream as before. Tests: four of ContinuedStreamTest and ExchangeTest failed before. Measured: forward, adapter and router tests pass.

--- a/src/forward/event_splitter.cc
+++ b/src/forward/event_splitter.cc
@@ -4,7 +4,9 @@
 #include <iterator>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
 #include "absl/strings/string_view.h"
 
 namespace wisteriareel {
@@ -41,6 +43,21 @@
 
 }  // namespace
 
+bool IsWellFormed(const StreamEvent& event) {
+  for (const absl::string_view line : absl::StrSplit(
+           event.bytes, absl::ByAnyChar("\r\n"), absl::SkipEmpty())) {
+    const absl::string_view name = line.substr(0, line.find(':'));
+    const bool is_field =
+        std::all_of(name.begin(), name.end(), [](char letter) {
+          return absl::ascii_islower(static_cast<unsigned char>(letter)) ||
+                 absl::ascii_isdigit(static_cast<unsigned char>(letter)) ||
+                 letter == '-';
+        });
+    if (!is_field) return false;
+  }
+  return true;
+}
+
 std::vector<StreamEvent> EventSplitter::Add(std::string_view bytes) {
   pending_.append(bytes);
   std::vector<StreamEvent> events;
--- a/src/forward/event_splitter.h
+++ b/src/forward/event_splitter.h
@@ -18,6 +18,10 @@
   friend bool operator==(const StreamEvent&, const StreamEvent&) = default;
 };
 
+// Returns true if each line of the event is a comment or a field, whose name
+// has lower-case letters, digits and hyphens only.
+bool IsWellFormed(const StreamEvent& event);
+
 // Splits the bytes of an event stream into complete events. Not thread-safe.
 class EventSplitter {
  public:
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -41,6 +41,7 @@
 constexpr absl::Duration kPromptProofTime = absl::Seconds(1);
 // Age below which a quarantine is new.
 constexpr absl::Duration kNewQuarantine = absl::Seconds(1);
+constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr std::string_view kAnswered = "answered";
 constexpr int kUrgencyPerCustomerPriority = 3;
@@ -335,7 +336,8 @@
     Dispatch(now);
     return;
   }
-  if (head_sent_ && !success) {
+  const bool resumed = info.status == kOk && !info.is_other_content;
+  if (head_sent_ && !resumed) {
     // The target did not resume the stream.
     EndAttempt(AttemptOutcome::kFailed, now);
     delegate_->CancelAttempt();
@@ -346,6 +348,7 @@
   phase_ = Phase::kReceivingResponse;
   attempt_began_at_ = now;
   status_ = info.status;
+  ends_with_connection_ = info.ends_with_connection;
   relays_events_ = success && request_.route->kind == RouteKind::kStreaming;
   SetTimer(now);
 }
@@ -374,7 +377,11 @@
 void Exchange::RelayEvents(std::string_view bytes, absl::Time now) {
   const std::vector<StreamEvent> events = events_.Add(bytes);
   std::string new_bytes;
+  bool is_malformed = false;
   for (const StreamEvent& event : events) {
+    // An error response within the stream isn't relayed.
+    is_malformed = !IsWellFormed(event);
+    if (is_malformed) break;
     const std::optional<std::int64_t> last_delivered =
         last_event_.has_value() ? last_event_ : request_.info.resume_after;
     // A resumed stream may repeat events that were already delivered.
@@ -392,26 +399,35 @@
   if (!events.empty() && now - attempt_began_at_ >= kPromptProofTime) {
     RecordPromptProof();
   }
+  if (!new_bytes.empty()) {
+    if (!head_sent_) {
+      head_sent_ = true;
+      first_event_at_ = now;
+      delegate_->SendHead(std::nullopt);
+    }
+    delegate_->SendBody(std::move(new_bytes));
+    SetTimer(now);
+  }
+  if (is_malformed) {
+    OnBroken(BrokenCause::kOther, now);
+    return;
+  }
   if (events_.HasOversizedEvent()) {
     delegate_->CancelAttempt();
     EndAttempt(AttemptOutcome::kIncomplete, now);
     FailAttempt(Reason::kTooLarge, now);
-    return;
   }
-  if (new_bytes.empty()) return;
-  if (!head_sent_) {
-    head_sent_ = true;
-    first_event_at_ = now;
-    delegate_->SendHead(std::nullopt);
-  }
-  delegate_->SendBody(std::move(new_bytes));
-  SetTimer(now);
 }
 
 void Exchange::OnEnd(absl::Time now) {
   if (phase_ != Phase::kReceivingResponse) return;
-  if (relays_events_ && (events_.HasPartial() || !head_sent_)) {
-    OnBroken(BrokenCause::kClosed, now);
+  // A connection that ends before the first event doesn't show that the stream
+  // has no more of them.
+  const bool is_broken = events_.HasPartial() || !head_sent_ ||
+                         (ends_with_connection_ && events_.count() == 0);
+  if (relays_events_ && is_broken) {
+    OnBroken(ends_with_connection_ ? BrokenCause::kClosed : BrokenCause::kOther,
+             now);
     return;
   }
   EndAttempt(
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -37,6 +37,11 @@
   std::optional<absl::Duration> retry_after;
   // The target leaves and accepts no new requests.
   bool leaving = false;
+  // The body has neither a length nor chunks: the end of the connection is its
+  // end.
+  bool ends_with_connection = false;
+  // The body isn't a stream of events.
+  bool is_other_content = false;
 
   friend bool operator==(const ResponseInfo&, const ResponseInfo&) = default;
 };
@@ -253,6 +258,8 @@
   Verdict verdict_ = Verdict::kNotRun;
   bool head_sent_ = false;
   bool relays_events_ = false;
+  // The end of the connection is the end of the response.
+  bool ends_with_connection_ = false;
   int status_ = 0;
   EventSplitter events_;
   std::string buffered_body_;
--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -431,6 +431,92 @@
   EXPECT_FALSE(delegate_.finished);
 }
 
+// What a target answers to the continuation of a stream that has begun.
+class ContinuedStreamTest : public ExchangeTest {
+ protected:
+  // Breaks the first target's stream after an event and starts a continuation.
+  void BreakStream() {
+    UseStreamingRoute(/*resumable=*/true);
+    ListTargets(3);
+    Start();
+    exchange_->OnHead({.status = 200}, kStart);
+    exchange_->OnBody(Event(1) + "id: 2\nda", kStart);
+    BreakConnection(kStart);
+    ASSERT_THAT(delegate_.attempts, SizeIs(2));
+    ASSERT_EQ(delegate_.attempts.back().resume_after, 1);
+  }
+
+  // The caller has the first event and an end that doesn't look complete.
+  void ExpectAborted() {
+    EXPECT_EQ(delegate_.body, Event(1));
+    EXPECT_TRUE(delegate_.aborted);
+    EXPECT_FALSE(delegate_.finished);
+  }
+};
+
+TEST_F(ContinuedStreamTest, AnErrorIsNotRelayedIntoTheStream) {
+  for (const ResponseInfo& info :
+       {ResponseInfo{.status = 500}, ResponseInfo{.status = 404},
+        ResponseInfo{.status = 204}, ResponseInfo{.status = 206},
+        ResponseInfo{.status = 302},
+        ResponseInfo{.status = 503, .not_run = true},
+        ResponseInfo{.status = 200, .is_other_content = true}}) {
+    delegate_ = FakeDelegate();
+    BreakStream();
+    exchange_->OnHead(info, kStart);
+    exchange_->OnBody("{\"error\":\"busy\"}\n\n", kStart);
+    exchange_->OnEnd(kStart);
+    ExpectAborted();
+  }
+}
+
+TEST_F(ContinuedStreamTest, AHeadWithinTheBodyIsNotRelayed) {
+  BreakStream();
+  exchange_->OnHead({.status = 200, .ends_with_connection = true}, kStart);
+  exchange_->OnBody("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy",
+                    kStart);
+  exchange_->OnEnd(kStart);
+  ExpectAborted();
+}
+
+// The target crashed before its first event, and its connection was closed.
+TEST_F(ContinuedStreamTest, AConnectionThatEndsWithoutAnEventIsNoEnd) {
+  BreakStream();
+  exchange_->OnHead({.status = 200, .ends_with_connection = true}, kStart);
+  exchange_->OnEnd(kStart);
+  ExpectAborted();
+}
+
+TEST_F(ContinuedStreamTest, AMarkedEndWithoutAnEventCompletesTheStream) {
+  BreakStream();
+  exchange_->OnHead({.status = 200}, kStart);
+  exchange_->OnEnd(kStart);
+  EXPECT_EQ(delegate_.body, Event(1));
+  EXPECT_TRUE(delegate_.finished);
+}
+
+TEST_F(ExchangeTest, AStreamMayEndWithItsConnection) {
+  UseStreamingRoute(/*resumable=*/false);
+  ListTargets(1);
+  Start();
+  exchange_->OnHead({.status = 200, .ends_with_connection = true}, kStart);
+  exchange_->OnBody(Event(1) + Event(2), kStart);
+  exchange_->OnEnd(kStart);
+  EXPECT_EQ(delegate_.body, Event(1) + Event(2));
+  EXPECT_TRUE(delegate_.finished);
+}
+
+TEST_F(ExchangeTest, BytesThatAreNoEventEndTheStream) {
+  UseStreamingRoute(/*resumable=*/false);
+  ListTargets(1);
+  Start();
+  exchange_->OnHead({.status = 200}, kStart);
+  exchange_->OnBody(Event(1) + "HTTP/1.1 200 OK\r\nX: y\r\n\r\n" + Event(2),
+                    kStart);
+  EXPECT_EQ(delegate_.body, Event(1));
+  EXPECT_TRUE(delegate_.aborted);
+}
+
 TEST_F(ExchangeTest, AnAttemptGetsTheTimeLeftUntilTheDeadline) {
   ListTargets(2);
   Start();
