Test that a refusal written twice is taken for no other request

Callers saw, at similar systems: "not run, try again" for requests that a server had run, by a second copy of an earlier refusal on a kept connection. Tried here on real connections, for idempotent and other requests: a connection isn't used again after a refusal that says "not run", so no copy can follow on it; after a 503 that doesn't say so the connection is kept, a copy with the old id is skipped, and one without an id ends the attempt with 502, may have run.

--- a/test/router_hostile_target_test.cc
+++ b/test/router_hostile_target_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <thread>
 
+#include "absl/strings/str_cat.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
 #include "test/raw_connection.h"
@@ -112,6 +113,86 @@
   EXPECT_THAT(response, HasSubstr("second"));
 }
 
+// A target that answers its first request with a refusal, and writes that once
+// more where the response to the second request is due.
+class RepeatedRefusalTest : public HostileTargetTest {
+ protected:
+  static std::string Refusal(const std::string& id_line) {
+    return absl::StrCat("HTTP/1.1 503 Busy\r\n", id_line,
+                        "Content-Length: 0\r\n\r\n");
+  }
+
+  // Returns the response to the second request. `id_line` is the header of the
+  // second copy that states a request's id.
+  std::string RepeatRefusal(const std::string& not_run_line,
+                            const std::string& id_line, RouteKind kind) {
+    ScriptedTarget target([&](int fd) {
+      ++connections_;
+      while (!ScriptedTarget::ReadHead(fd).empty()) {
+        char body[2];
+        read(fd, body, sizeof(body));
+        if (++requests_ == 1) {
+          ScriptedTarget::Write(
+              fd, Refusal(not_run_line + "Wisteriareel-Request-Id: q1\r\n"));
+          continue;
+        }
+        ScriptedTarget::Write(fd, Refusal(not_run_line + id_line) +
+                                      CompleteResponse("q2", "second"));
+        return;
+      }
+    });
+    Start(target.port(), kind);
+    {
+      RawConnection caller(settings_.listen.callers.port);
+      caller.Send(Request("q1", "Connection: close\r\n"));
+      EXPECT_THAT(caller.ReadAll(), HasSubstr("HTTP/1.1 503"));
+    }
+    RawConnection other(settings_.listen.callers.port);
+    other.Send(Request("q2", "Connection: close\r\n"));
+    return other.ReadAll();
+  }
+
+  std::atomic<int> connections_ = 0;
+  std::atomic<int> requests_ = 0;
+};
+
+constexpr char kNotRunLine[] = "Wisteriareel-Not-Executed: 1\r\n";
+constexpr char kOldIdLine[] = "Wisteriareel-Request-Id: q1\r\n";
+
+TEST_F(RepeatedRefusalTest, AnIdempotentRequestGetsItsOwnResponse) {
+  EXPECT_THAT(RepeatRefusal(kNotRunLine, kOldIdLine, RouteKind::kIdempotent),
+              HasSubstr("second"));
+  EXPECT_EQ(requests_, 2);
+}
+
+TEST_F(RepeatedRefusalTest, ANonIdempotentRequestGetsItsOwnResponse) {
+  EXPECT_THAT(RepeatRefusal(kNotRunLine, kOldIdLine, RouteKind::kNonIdempotent),
+              HasSubstr("second"));
+  EXPECT_EQ(requests_, 2);
+}
+
+// A copy can only come on a connection that carries the next request.
+TEST_F(RepeatedRefusalTest, AConnectionIsNotUsedAgainAfterARefusal) {
+  RepeatRefusal(kNotRunLine, kOldIdLine, RouteKind::kIdempotent);
+  EXPECT_EQ(connections_, 2);
+}
+
+// The target doesn't say that it didn't run the request, so that the connection
+// is used again; the copy doesn't say what it belongs to.
+TEST_F(RepeatedRefusalTest, ACopyWithoutAnIdIsNoProofThatTheRequestDidNotRun) {
+  const std::string response = RepeatRefusal("", "", RouteKind::kIdempotent);
+  EXPECT_EQ(connections_, 1);
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 502"));
+  EXPECT_THAT(response, HasSubstr("may_have_run"));
+  EXPECT_EQ(requests_, 2);
+}
+
+TEST_F(RepeatedRefusalTest, ACopyWithTheOldIdOnAUsedConnectionIsSkipped) {
+  EXPECT_THAT(RepeatRefusal("", kOldIdLine, RouteKind::kIdempotent),
+              HasSubstr("second"));
+  EXPECT_EQ(connections_, 1);
+}
+
 TEST_F(HostileTargetTest, AnEndlessHeaderLineClosesTheConnection) {
   std::atomic<std::size_t> sent = 0;
   const std::string response =
