Keep publishing a crash that two instances published at once

Callers saw: nothing; found by reading. Two instances that a third one told of a crash while the table was unavailable both published it, each then saw the other's row, and both left it out of their next row, so that instances that start later didn't know it. Change: an instance goes on publishing what it has published. Test: PromptQuarantineTest.WhatWasPublishedTwiceStaysPublished; without the condition its second publication is empty.

--- a/src/forward/prompt_quarantine.cc
+++ b/src/forward/prompt_quarantine.cc
@@ -136,7 +136,8 @@
   RemoveExpired(now);
   const auto it = crashes_.find(crash.id);
   if (it != crashes_.end()) {
-    if (!own) it->second.own = false;
+    // Two instances that both published it both keep publishing it.
+    if (!own && !it->second.published) it->second.own = false;
     return;
   }
   if (crashes_.size() >= options_.max_crashes_kept) {
--- a/src/forward/prompt_quarantine.h
+++ b/src/forward/prompt_quarantine.h
@@ -169,8 +169,9 @@
  private:
   struct Crash {
     PromptCrash observation;
-    // This instance publishes it, and whether it has.
+    // This instance has to publish it.
     bool own = false;
+    // This instance has published it.
     bool published = false;
   };
   // Requests with the segment and all its companions are refused.
--- a/test/forward_prompt_quarantine_test.cc
+++ b/test/forward_prompt_quarantine_test.cc
@@ -216,6 +216,15 @@
   EXPECT_FALSE(other.HasUnpublishedEvidence());
 }
 
+// A crash that two instances published at the same time isn't dropped by both.
+TEST_F(PromptQuarantineTest, WhatWasPublishedTwiceStaysPublished) {
+  Crash({"a", "own"});
+  const PromptEvidence published = quarantine_.CollectPublication(now_);
+  quarantine_.RecordPublication(published);
+  quarantine_.Merge(published, EvidenceOrigin::kPublished, now_);
+  EXPECT_EQ(quarantine_.CollectPublication(now_), published);
+}
+
 TEST_F(PromptQuarantineTest, AProofThatOthersNeedIsPublished) {
   Prove({"a", "own"});
   PromptQuarantine other;
