--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -197,6 +197,9 @@
     kDone
   };
 
+  // Outcome of a request whose target's response was relayed to its end.
+  static constexpr std::string_view kAnswered = "answered";
+
   absl::Time Deadline() const;
   void TryReserve(absl::Time now);
   // Returns when a caller that was refused for tokens should return.
