Keep rows that hold only proofs, and back off from a failing table

Callers saw: nothing; found by reading the diff. Cause and change: an instance that starts removed rows without unexpired crashes, also those by which another instance had cleared a segment. A failed call was repeated every 0.3 s for as long as an outage lasted; the delay now doubles up to 1.2 s, with jitter. After one failed write instances went on asking each other every 0.4 s until the table had failed once more; now until a call succeeds.

--- a/src/forward/prompt_quarantine.cc
+++ b/src/forward/prompt_quarantine.cc
@@ -132,7 +132,7 @@
 
 void PromptQuarantine::AddCrash(PromptCrash crash, bool own, absl::Time now) {
   crash.at = std::min(crash.at, now);
-  if (crash.segments.empty() || IsExpired(crash, now)) return;
+  if (crash.segments.empty() || IsExpired(crash.at, now)) return;
   RemoveExpired(now);
   const auto it = crashes_.find(crash.id);
   if (it != crashes_.end()) {
@@ -177,7 +177,7 @@
   if (now < next_expiry_) return;
   next_expiry_ = absl::InfiniteFuture();
   absl::erase_if(crashes_, [this, now](const auto& entry) {
-    return IsExpired(entry.second.observation, now);
+    return IsExpired(entry.second.observation.at, now);
   });
   for (const auto& [id, crash] : crashes_) {
     next_expiry_ =
--- a/src/forward/prompt_quarantine.h
+++ b/src/forward/prompt_quarantine.h
@@ -158,9 +158,9 @@
   // Records that this instance has published `evidence`.
   void RecordPublication(const PromptEvidence& evidence);
 
-  // Returns true if the crash no longer counts.
-  bool IsExpired(const PromptCrash& crash, absl::Time now) const {
-    return crash.at + options_.expiry <= now;
+  // Returns true if evidence from `at` no longer counts.
+  bool IsExpired(absl::Time at, absl::Time now) const {
+    return at + options_.expiry <= now;
   }
 
   // Number of segments that became quarantined so far.
--- a/src/router/quarantine_sync.cc
+++ b/src/router/quarantine_sync.cc
@@ -111,7 +111,9 @@
 
 QuarantineSync::QuarantineSync(QuarantineSyncOptions options,
                                QuarantineSyncDependencies dependencies)
-    : options_(std::move(options)), dependencies_(std::move(dependencies)) {}
+    : options_(std::move(options)),
+      dependencies_(std::move(dependencies)),
+      retry_delay_(options_.retry_delay) {}
 
 void QuarantineSync::Start() {
   dependencies_.quarantine->SetChanged([this] { OnChanged(); });
@@ -158,9 +160,18 @@
   }
 }
 
-void QuarantineSync::SetTableUnavailable() {
+void QuarantineSync::RecordTableFailure() {
   table_available_ = false;
-  dependencies_.scheduler->After(options_.retry_delay, [this] { ReadRows(); });
+  retry_delay_ = std::min(options_.max_retry_delay, retry_delay_ * 2);
+}
+
+void QuarantineSync::RecordTableSuccess() {
+  table_available_ = true;
+  retry_delay_ = options_.retry_delay;
+}
+
+absl::Duration QuarantineSync::NextRetryDelay() {
+  return retry_delay_ * (0.5 + dependencies_.random->Fraction());
 }
 
 void QuarantineSync::ReadRows() {
@@ -168,10 +179,12 @@
       kTable, "",
       [this](const std::optional<RowsReply>& rows, const LastReason&) {
         if (!rows.has_value()) {
-          SetTableUnavailable();
+          RecordTableFailure();
+          dependencies_.scheduler->After(NextRetryDelay(),
+                                         [this] { ReadRows(); });
           return;
         }
-        table_available_ = true;
+        RecordTableSuccess();
         version_ = rows->version;
         ApplyRows(rows->rows);
         RemoveExpiredRows(rows->rows);
@@ -190,11 +203,17 @@
           return;
         }
         if (reply.outcome == PollOutcome::kFailed) {
-          SetTableUnavailable();
+          RecordTableFailure();
+          dependencies_.scheduler->After(NextRetryDelay(),
+                                         [this] { ReadRows(); });
           return;
         }
         version_ = reply.changes.version;
         ApplyRows(reply.changes.rows);
+        // The table may answer reads and no writes.
+        if (!dependencies_.quarantine->HasUnpublishedEvidence()) {
+          RecordTableSuccess();
+        }
         dependencies_.scheduler->After(options_.poll_pause,
                                        [this] { PollRows(); });
       });
@@ -224,12 +243,18 @@
     if (removal.writes.size() >= kMaxRemovedRows) break;
     if (row.key.key == options_.self.value()) continue;
     const PromptEvidence evidence = DecodePromptEvidence(row.value, *epoch);
-    const bool expired =
-        std::all_of(evidence.crashes.begin(), evidence.crashes.end(),
+    const bool is_used =
+        std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
                     [this, now](const PromptCrash& crash) {
-                      return dependencies_.quarantine->IsExpired(crash, now);
+                      return !dependencies_.quarantine->IsExpired(crash.at,
+                                                                  now);
+                    }) ||
+        std::any_of(evidence.proofs.begin(), evidence.proofs.end(),
+                    [this, now](const SegmentProof& proof) {
+                      return !dependencies_.quarantine->IsExpired(proof.at,
+                                                                  now);
                     });
-    if (!expired) continue;
+    if (is_used) continue;
     removal.conditions.push_back({.key = row.key, .version = row.version});
     removal.writes.push_back({.key = row.key});
   }
@@ -253,11 +278,12 @@
       [this, evidence](const CommitReply& reply) {
         writing_ = false;
         if (reply.outcome != CommitOutcome::kCommitted) {
-          table_available_ = false;
-          dependencies_.scheduler->After(options_.retry_delay,
+          RecordTableFailure();
+          dependencies_.scheduler->After(NextRetryDelay(),
                                          [this] { Publish(); });
           return;
         }
+        RecordTableSuccess();
         dependencies_.quarantine->RecordPublication(evidence);
         Publish();
       });
--- a/src/router/quarantine_sync.h
+++ b/src/router/quarantine_sync.h
@@ -25,8 +25,10 @@
   absl::Duration poll_wait = absl::Seconds(15);
   // Time between two polls, which bounds their rate while evidence comes in.
   absl::Duration poll_pause = absl::Milliseconds(50);
-  // Time after which a failed call of the table is repeated.
+  // Time after which a failed call of the table is repeated. It doubles with
+  // each failure in a row, up to the maximum.
   absl::Duration retry_delay = absl::Milliseconds(300);
+  absl::Duration max_retry_delay = absl::Milliseconds(1200);
   // What isn't urgent is published after a random part of this time, and only
   // if it isn't known from another instance by then.
   absl::Duration max_delay = absl::Milliseconds(300);
@@ -83,7 +85,10 @@
   void PollRows();
   void ApplyRows(const std::vector<PartitionRow>& rows);
   void RemoveExpiredRows(const std::vector<PartitionRow>& rows);
-  void SetTableUnavailable();
+  void RecordTableFailure();
+  void RecordTableSuccess();
+  // Returns a random time around the present retry delay.
+  absl::Duration NextRetryDelay();
   // Publishes the evidence, unless a write is in progress.
   void Publish();
   void RunPeerRound();
@@ -92,8 +97,9 @@
 
   const QuarantineSyncOptions options_;
   const QuarantineSyncDependencies dependencies_;
-  // The rows were read since the table was last unavailable.
+  // The last call of the table succeeded.
   bool table_available_ = false;
+  absl::Duration retry_delay_;
   // This instance's row of an earlier run was read, and may be replaced.
   bool own_row_read_ = false;
   bool writing_ = false;
--- a/test/quarantine_sync_test.cc
+++ b/test/quarantine_sync_test.cc
@@ -122,6 +122,7 @@
 
   Fleet* const fleet;
   const std::size_t self;
+  int sent = 0;
 };
 
 struct Instance {
@@ -190,6 +191,7 @@
 
 void FleetPeers::Send(const Endpoint& peer, const std::string& path,
                       absl::Duration timeout, Done done) {
+  ++sent;
   fleet->scheduler.After(absl::Milliseconds(2), [=, this] {
     Instance* const other = fleet->instances[peer.port].get();
     if (other->isolated || fleet->instances[self]->isolated) {
@@ -337,6 +339,33 @@
   EXPECT_LE(commits, 6 + 5);
 }
 
+TEST(QuarantineSyncTest, ARowThatHasOnlyProofsIsKept) {
+  Fleet fleet(2);
+  fleet.scheduler.Advance(absl::Seconds(1));
+  fleet.instances[1]->quarantine.RecordProof({{.id = "a"}, {.id = "own"}},
+                                             fleet.scheduler.Now());
+  for (int n = 0; n < 2; ++n) fleet.Crash(0, {"a", "own"});
+  fleet.scheduler.Advance(absl::Seconds(1));
+  ASSERT_THAT(fleet.rows.rows, SizeIs(2));
+  fleet.Start("i2");
+  fleet.scheduler.Advance(absl::Seconds(1));
+  EXPECT_THAT(fleet.rows.rows, SizeIs(2));
+}
+
+// One write fails while the table answers polls.
+TEST(QuarantineSyncTest, InstancesStopAskingEachOtherAfterASuccessfulWrite) {
+  Fleet fleet(2);
+  fleet.scheduler.Advance(absl::Seconds(1));
+  fleet.instances[0]->table.SetAvailable(false);
+  fleet.Crash(0, kBad);
+  fleet.scheduler.Advance(absl::Milliseconds(100));
+  fleet.instances[0]->table.SetAvailable(true);
+  fleet.scheduler.Advance(absl::Seconds(3));
+  const int sent = fleet.instances[0]->peers.sent;
+  fleet.scheduler.Advance(absl::Seconds(5));
+  EXPECT_EQ(fleet.instances[0]->peers.sent, sent);
+}
+
 TEST(QuarantineSyncTest, RowsOfExpiredEvidenceAreRemoved) {
   Fleet fleet(2);
   fleet.scheduler.Advance(absl::Seconds(1));
