Count the tokens of streams that broke off as delivered, for 402

Cause: only complete responses counted as certainly consumed. Each crash breaks off 20 streams whose events the callers have. Ruled out: that tokens were left: the home instance's rows show all of the 3,457,264 granted and lent, nothing that could be returned. Change: a response counts as delivered once an event of it was relayed. Test: ExchangeTest.TokensOfABrokenStreamCountAsDelivered.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -416,15 +416,16 @@
                   Tokens(events_sent_ * per_event));
 }
 
-bool Exchange::IsCompleteSuccess(std::string_view outcome) const {
-  return outcome == kAnswered && status_ >= 200 && status_ < 300;
+bool Exchange::IsDelivered(std::string_view outcome) const {
+  const bool is_success = status_ >= 200 && status_ < 300;
+  return events_sent_ > 0 || (outcome == kAnswered && is_success);
 }
 
 void Exchange::Finish(std::string_view outcome, Reason reason, absl::Time now) {
   phase_ = Phase::kDone;
   if (reserved_) {
     services_.ledger->Settle(request_.customer, request_.info.MaxTokens(),
-                             UsedTokens(), IsCompleteSuccess(outcome));
+                             UsedTokens(), IsDelivered(outcome));
     services_.counters->Add(Counter::kTokensBilled,
                             static_cast<std::uint64_t>(UsedTokens().value()));
   }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -232,8 +232,8 @@
   void RefuseRequest(int status, Reason reason,
                      std::optional<absl::Duration> after, absl::Time now);
   void Abort(absl::Time now);
-  // Returns true if the caller got a complete successful response.
-  bool IsCompleteSuccess(std::string_view outcome) const;
+  // Returns true if the caller got a successful response or a part of it.
+  bool IsDelivered(std::string_view outcome) const;
   void Finish(std::string_view outcome, Reason reason, absl::Time now);
   void SetTimer(absl::Time now);
   absl::Duration IdleTimeout() const;
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -12,9 +12,9 @@
 namespace wisteriareel {
 namespace {
 
-// Share of a budget that may have been used for incomplete responses when the
-// budget counts as exhausted.
-constexpr double kMaxIncompleteShare = 0.03;
+// Share of a budget that may have been used for requests without any response
+// when the budget counts as exhausted.
+constexpr double kMaxUndeliveredShare = 0.03;
 
 // Time constant of the average of demand.
 constexpr absl::Duration kDemandMemory = absl::Seconds(4);
@@ -189,10 +189,10 @@
   const std::int64_t undelivered =
       prepaid - account.pool.delivered - account.unreported;
   if (undelivered < amount) return true;
-  // All tokens are used, a few of them for incomplete responses.
+  // All tokens are used, a few of them without a response.
   return now < account.returnable_until && account.returnable < amount &&
          static_cast<double>(undelivered - amount) <
-             kMaxIncompleteShare * static_cast<double>(prepaid);
+             kMaxUndeliveredShare * static_cast<double>(prepaid);
 }
 
 ReserveResult PrepaidLedger::HandleShortfall(Account* account,
@@ -245,7 +245,7 @@
 }
 
 void PrepaidLedger::Settle(const CustomerId& customer, Tokens max_tokens,
-                           Tokens used, bool complete) {
+                           Tokens used, bool delivered) {
   Account& account = accounts_[customer];
   // Nothing was reserved if the customer's budget was unlimited at that time.
   const std::int64_t reserved = std::min(account.reserved, max_tokens.value());
@@ -253,7 +253,7 @@
   const std::int64_t settled = std::min(used.value(), reserved);
   account.reserved -= reserved;
   account.settled += settled;
-  if (complete) account.unreported += settled;
+  if (delivered) account.unreported += settled;
 }
 
 std::vector<CustomerId> PrepaidLedger::CustomersToRetry(absl::Time now) {
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -141,10 +141,10 @@
                         absl::Time now);
 
   // Ends a reservation of `max_tokens`, of which at most `used` were consumed.
-  // `complete` tells whether the caller got the complete response, so that they
-  // certainly were.
+  // `delivered` tells whether the caller got the response or a part of it, so
+  // that they certainly were.
   void Settle(const CustomerId& customer, Tokens max_tokens, Tokens used,
-              bool complete);
+              bool delivered);
 
   // Returns the transactions that are due. Each must be followed by a call of
   // CompleteTransaction.
@@ -233,7 +233,7 @@
  private:
   struct Pool {
     std::int64_t granted = 0;
-    // Consumed by complete responses, as far as reported.
+    // Consumed by delivered responses, as far as reported.
     std::int64_t delivered = 0;
 
     friend bool operator==(const Pool&, const Pool&) = default;
@@ -285,7 +285,7 @@
     std::uint64_t own_version = 0;
     // Settled by this instance.
     std::int64_t settled = 0;
-    // Consumed by complete responses, of this instance and of its borrowers,
+    // Consumed by delivered responses, of this instance and of its borrowers,
     // and not reported yet.
     std::int64_t unreported = 0;
     std::int64_t reserved = 0;
@@ -398,7 +398,6 @@
                                 absl::Time now);
   bool CanTransact(const Account& account, absl::Time now) const;
   bool IsPlatformUnavailable(const Account& account) const;
-  // Returns true if complete responses left less than `amount`.
   // Returns true if the customer's tokens don't cover a request of `amount`,
   // and never will unless the budget grows.
   static bool IsExhausted(const Account& account, std::int64_t amount,
--- a/src/forward/token_loan.h
+++ b/src/forward/token_loan.h
@@ -29,7 +29,7 @@
   Tokens min_amount;
   // Tokens that the borrower holds already; stated for spare tokens.
   Tokens held;
-  // Consumed by complete responses of the borrower and not yet reported to the
+  // Consumed by delivered responses of the borrower and not yet reported to the
   // platform. The lender reports them.
   Tokens delivered;
   LoanKind kind = LoanKind::kNeeded;
@@ -54,7 +54,7 @@
   kSoon,
   // The platform has no tokens left to grant, and no instance returned any.
   kPoolEmpty,
-  // Complete responses consumed so much that the request can't be covered.
+  // Delivered responses consumed so much that the request can't be covered.
   kExhausted,
   // The lender can't reach the platform or isn't the customer's home instance.
   kNone,
--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -87,7 +87,8 @@
     RouteConfig config{
         .revision = Revision(1),
         .routes = {route_},
-        .customers = {{.id = CustomerId("c"), .prepaid = prepaid_}}};
+        .customers = {{.id = CustomerId("c"), .prepaid = prepaid_},
+                      {.id = CustomerId("d"), .prepaid = prepaid_}}};
     ledger_.SetBudgets(config, kStart - absl::Minutes(1));
     ledger_.SetHomeCustomers([](const CustomerId&) { return true; });
     const auto table = std::make_shared<const RouteTable>(config);
@@ -553,6 +554,36 @@
   EXPECT_THAT(delegate_.attempts, SizeIs(2));
 }
 
+// Regression test: tokens of streams that broke off kept a customer who had
+// none left from being told so.
+TEST_F(ExchangeTest, TokensOfABrokenStreamCountAsDelivered) {
+  for (const bool has_event : {false, true}) {
+    UseStreamingRoute(false);
+    customer_ = CustomerId(has_event ? "c" : "d");
+    prepaid_ = Tokens(200);
+    engine_ = EngineSpec{.tokens_per_event = 5};
+    info_.prompt_tokens = Tokens(100);
+    info_.max_output_tokens = Tokens(50);
+    ListTargets(1);
+    delegate_ = FakeDelegate();
+    Start();
+    for (const LedgerTransaction& transaction :
+         ledger_.TakeTransactions(kStart)) {
+      ledger_.CompleteTransaction(
+          transaction.customer,
+          {.outcome = CommitOutcome::kCommitted, .version = 1}, kStart);
+    }
+    exchange_->OnLedgerChanged(kStart);
+    ASSERT_THAT(delegate_.attempts, SizeIs(1));
+    exchange_->OnHead({.status = 200}, kStart);
+    if (has_event) exchange_->OnBody(Event(1), kStart);
+    BreakConnection(kStart);
+    EXPECT_EQ(ledger_.Reserve(customer_, Tokens(150), kStart) ==
+                  ReserveResult::kExhausted,
+              has_event);
+  }
+}
+
 TEST_F(ExchangeTest, OnlyDeliveredTokensAreSettled) {
   UseStreamingRoute(false);
   customer_ = CustomerId("c");
