--- a/test/forward_prepaid_ledger_property_test.cc
+++ b/test/forward_prepaid_ledger_property_test.cc
@@ -82,7 +82,7 @@
         static_cast<std::int64_t>(static_cast<double>(max_tokens) * used_share);
     consumed_ += used;
     instance->ledger->Settle(kCustomer, Tokens(max_tokens), Tokens(used),
-                             /*complete=*/used_share > 0.5);
+                             /*delivered=*/used_share > 0.5);
   }
 
   // `delivery` is 0 if the transaction is committed and answered, 1 if the
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -156,7 +156,7 @@
   CommitTransactions(ledger.get());
   ASSERT_EQ(ledger->Reserve(kCustomer, Tokens(40000), now_),
             ReserveResult::kReserved);
-  ledger->Settle(kCustomer, Tokens(40000), Tokens(0), /*complete=*/false);
+  ledger->Settle(kCustomer, Tokens(40000), Tokens(0), /*delivered=*/false);
   ledger->StartReturningTokens();
   const auto transactions = ledger->TakeTransactions(now_);
   ASSERT_EQ(transactions.size(), 1U);
@@ -531,8 +531,8 @@
     ledger->Settle(kCustomer, tokens, tokens, complete);
     CommitTransactions(ledger.get());
   };
-  use(Tokens(97500), /*complete=*/true);
-  use(Tokens(2500), /*complete=*/false);
+  use(Tokens(97500), /*delivered=*/true);
+  use(Tokens(2500), /*delivered=*/false);
   const Tokens wanted(1000);
   ledger->Reserve(kCustomer, wanted, now_);
   CommitTransactions(ledger.get());
--- a/test/forward_prompt_quarantine_test.cc
+++ b/test/forward_prompt_quarantine_test.cc
@@ -19,6 +19,7 @@
   static std::vector<PromptSegment> Prompt(
       const std::vector<std::string>& ids) {
     std::vector<PromptSegment> segments;
+    segments.reserve(ids.size());
     for (const std::string& id : ids) segments.push_back({.id = id});
     return segments;
   }
--- a/test/quarantine_sync_test.cc
+++ b/test/quarantine_sync_test.cc
@@ -167,6 +167,7 @@
 
   bool IsRefused(std::size_t instance, const std::vector<std::string>& ids) {
     std::vector<PromptSegment> segments;
+    segments.reserve(ids.size());
     for (const std::string& id : ids) segments.push_back({.id = id});
     return instances[instance]
         ->quarantine.Find(segments, scheduler.Now())
--- a/test/token_fleet.cc
+++ b/test/token_fleet.cc
@@ -745,7 +745,7 @@
     fleet_->EndRequest(ended, ended.used_tokens);
     plane_.ledger()->Settle(Fleet::Customer(ended.customer),
                             Tokens(ended.max_tokens), Tokens(ended.used_tokens),
-                            /*complete=*/true);
+                            /*delivered=*/true);
   });
   return true;
 }
