--- a/review/build.sh
+++ b/review/build.sh
@@ -4,9 +4,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[1-5]/case.cc; do
+for source in review/[1-5]/case.cpp; do
   [ -e "$source" ] || continue
   name=$(basename "$(dirname "$source")")
   "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -I. -o "target/review/case-$name" \
-    "$source" review/standin/net.cc review/standin/store.cc review/standin/fleet.cc
+    "$source" review/standin/net.cpp review/standin/store.cpp review/standin/fleet.cpp
 done
