--- a/review/build.sh
+++ b/review/build.sh
@@ -4,9 +4,21 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[1-5]/case.cpp; do
-  [ -e "$source" ] || continue
-  name=$(basename "$(dirname "$source")")
-  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -I. -o "target/review/case-$name" \
-    "$source" review/standin/net.cpp review/standin/store.cpp review/standin/fleet.cpp
+compile() {
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread -I. "$@"
+}
+builds=()
+objects=()
+for name in net store fleet; do
+  objects+=("target/review/$name.o")
+  compile -c -o "target/review/$name.o" "review/standin/$name.cpp" &
+  builds+=($!)
+done
+for case in 1 2 3 4 5; do
+  compile -c -o "target/review/$case.o" "review/$case/case.cpp" &
+  builds+=($!)
+done
+for build in "${builds[@]}"; do wait "$build"; done
+for case in 1 2 3 4 5; do
+  compile -o "target/review/case-$case" "target/review/$case.o" "${objects[@]}"
 done
