Review case 3: turn away one machine only, within the site's doses

The store of the case now refuses the calls of the holder's machine alone before it is killed, for 4.5 s; the site file allows 9 s for a third of the machines. Before, the whole store was away.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -27,8 +27,9 @@
 constexpr int kRequestIntervalMs = 50;
 constexpr int kMachines = 3;
 
-// Times after the start of the requests. The store is down for 4.5 s, and after
-// that one of its partitions, with the tenant's budget, for 3.5 s.
+// Times after the start of the requests. The store turns one machine away for
+// 4.5 s, and after that one of its partitions, with the tenant's budget, is
+// away for 3.5 s.
 constexpr int kOutageMs = 5'000;
 constexpr int kFirstKillMs = 9'000;
 constexpr int kPartialOutageMs = 9'500;
@@ -150,10 +151,12 @@
   std::vector<std::uint16_t> peers;
   for (int n = 0; n < kMachines; ++n) peers.push_back(FreePort());
   static std::vector<std::unique_ptr<Machine>> machines;
+  std::vector<std::uint16_t> store_ports;
   for (int n = 0; n < kMachines; ++n) {
-    machines.push_back(
-        std::make_unique<Machine>(store, "front-a-" + std::to_string(n + 1),
-                                  folder.path(), peers, peers[n]));
+    store_ports.push_back(store.AddPort());
+    machines.push_back(std::make_unique<Machine>(
+        store_ports.back(), "front-a-" + std::to_string(n + 1), folder.path(),
+        peers, peers[n]));
     if (!machines.back()->Start()) return kCannotRun;
   }
   for (const auto& machine : machines) {
@@ -213,15 +216,19 @@
   };
   if (HasTrouble()) {
     wait_until(kOutageMs);
-    Machine& leader = *machines[FindLeader(&store)];
-    note("the store is unavailable");
-    store.SetFault([](const StoreCall&) { return StoreFault::kUnavailable; });
+    const int index = FindLeader(&store);
+    Machine& leader = *machines[index];
+    note("the store turns the leader away, front-a-" +
+         std::to_string(index + 1));
+    store.SetFault([port = store_ports[index]](const StoreCall& call) {
+      return call.port == port ? StoreFault::kUnavailable : StoreFault::kNone;
+    });
     wait_until(kFirstKillMs);
     note("the leader is killed");
     leader.Signal(SIGKILL);
     leader.Wait();
     wait_until(kPartialOutageMs);
-    note("the store is back, but for the tenant's partition");
+    note("the store serves all, but for the tenant's partition");
     store.SetFault([](const StoreCall& call) {
       return call.part == "tenant" ? StoreFault::kUnavailable
                                    : StoreFault::kNone;
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -89,8 +89,8 @@
   static const Server first(&store, "i-1", "engines", serve);
   static const Server second(&store, "i-2", "engines", serve);
   const std::vector<std::uint16_t> peers = {FreePort(), FreePort()};
-  Machine machine(store, "front-a-1", folder.path(), peers, peers[0]);
-  Machine other(store, "front-a-2", folder.path(), peers, peers[1]);
+  Machine machine(store.port(), "front-a-1", folder.path(), peers, peers[0]);
+  Machine other(store.port(), "front-a-2", folder.path(), peers, peers[1]);
   if (!machine.Start() || !other.Start() || !machine.WaitReady() ||
       !other.WaitReady()) {
     return kCannotRun;
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -121,7 +121,7 @@
   static const Server first(&store, "i-1", "engines", make_handler("i-1"));
   static const Server second(&store, "i-2", "engines", make_handler("i-2"));
   const std::uint16_t peers = FreePort();
-  Machine machine(store, "front-a-1", folder.path(), {peers}, peers);
+  Machine machine(store.port(), "front-a-1", folder.path(), {peers}, peers);
   if (!machine.Start() || !machine.WaitReady()) return kCannotRun;
   SleepMs(6000);
 
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -101,8 +101,9 @@
   close(fd);
 }
 
-Machine::Machine(const Store& store, std::string name, std::string directory,
-                 std::vector<std::uint16_t> seeds, std::uint16_t peer_port)
+Machine::Machine(std::uint16_t store_port, std::string name,
+                 std::string directory, std::vector<std::uint16_t> seeds,
+                 std::uint16_t peer_port)
     : name_(std::move(name)),
       log_(directory + "/" + name_ + ".log"),
       settings_(directory + "/" + name_ + ".json") {
@@ -116,7 +117,7 @@
        {{"callers", Address(callers_port_)},
         {"ready", Address(ready_port_)},
         {"peers", Address(peer_port)}}},
-      {"table", Address(store.port())},
+      {"table", Address(store_port)},
       {"seeds", seed_list},
       {"repeats", {{"ratio", 0.2}, {"slack", 56}, {"window_s", 10}}},
       {"link_mbps", 1000},
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -69,7 +69,7 @@
 // One machine of the system: runs the router as a process.
 class Machine {
  public:
-  Machine(const Store& store, std::string name, std::string directory,
+  Machine(std::uint16_t store_port, std::string name, std::string directory,
           std::vector<std::uint16_t> seeds, std::uint16_t peer_port);
   ~Machine();
 
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -84,14 +84,18 @@
 
 }  // namespace
 
-Store::Store() {
-  const int listener = Listen(&port_);
-  std::thread([this, listener] {
+Store::Store() : port_(AddPort()) {}
+
+std::uint16_t Store::AddPort() {
+  std::uint16_t port = 0;
+  const int listener = Listen(&port);
+  std::thread([this, listener, port] {
     for (;;) {
       const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
-      if (fd >= 0) std::thread([this, fd] { Serve(fd); }).detach();
+      if (fd >= 0) std::thread([this, fd, port] { Serve(fd, port); }).detach();
     }
   }).detach();
+  return port;
 }
 
 void Store::SetFault(std::function<StoreFault(const StoreCall&)> fault) {
@@ -234,13 +238,14 @@
   return 200;
 }
 
-void Store::Serve(int fd) {
+void Store::Serve(int fd, std::uint16_t port) {
   MessageReader reader(fd);
   Message request;
   while (reader.Read(&request)) {
     const std::string target = request.Word(1);
     const auto query = ParseQuery(target);
     StoreCall call;
+    call.port = port;
     call.path = target.substr(0, target.find('?'));
     if (call.path == "/rows-tx") {
       call.body = json::parse(request.body);
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -24,6 +24,8 @@
   std::string table;
   // Body of a transaction.
   nlohmann::json body;
+  // The port that the call arrived at.
+  std::uint16_t port = 0;
 };
 
 enum class StoreFault {
@@ -42,6 +44,9 @@
 
   std::uint16_t port() const { return port_; }
 
+  // Returns a further port of the store, to tell its clients apart.
+  std::uint16_t AddPort();
+
   // Sets the function that decides what happens to a call.
   void SetFault(std::function<StoreFault(const StoreCall&)> fault);
 
@@ -63,7 +68,7 @@
     bool removed = false;
   };
 
-  void Serve(int fd);
+  void Serve(int fd, std::uint16_t port);
   // Returns the status and sets the body.
   int Handle(const StoreCall& call,
              const std::map<std::string, std::string>& query,
@@ -78,12 +83,13 @@
   void Stamp(nlohmann::json* reply) const;
 
   const SteadyClock::time_point started_ = SteadyClock::now();
-  std::uint16_t port_ = 0;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::uint64_t version_ = 100;
   std::map<Key, Row> rows_;
   std::function<StoreFault(const StoreCall&)> fault_;
+  // Last, since clients may call from then on.
+  const std::uint16_t port_;
 };
 
 }  // namespace review
