Let the log show lost lines, unfinished requests and a thread that stood still

Cause: not known. The hypotheses can't be told apart by the log: a request that the end of the process destroyed, a thread that stood still until the process was killed, and a line that was lost afterwards all look the same.

Change: each line ends with its number; "router stopped" says how many connections were unfinished, and each of their requests gets its line before; event 1006 says that the event loop stood still for half a second or more. The test of the line format expects the number, and that it grows.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -18,6 +18,7 @@
   kDaemonStopped = 1003,
   kSettingsRejected = 1004,
   kSettingsReloaded = 1005,
+  kLoopStalled = 1006,
 
   // 1100-1199 platform.
   // 1200-1299 budget.
--- a/src/observability/log4cxx_event_log.cc
+++ b/src/observability/log4cxx_event_log.cc
@@ -90,7 +90,8 @@
                             std::string_view text,
                             const std::vector<EventField>& fields) {
   if (severity < min_severity_) return;
-  impl_->Log(severity, FormatEvent(id, text, fields));
+  impl_->Log(severity,
+             absl::StrCat(FormatEvent(id, text, fields), " line=", ++lines_));
 }
 
 }  // namespace wisteriareel
--- a/src/observability/log4cxx_event_log.h
+++ b/src/observability/log4cxx_event_log.h
@@ -1,6 +1,8 @@
 #ifndef WISTERIAREEL_SRC_OBSERVABILITY_LOG4CXX_EVENT_LOG_H_
 #define WISTERIAREEL_SRC_OBSERVABILITY_LOG4CXX_EVENT_LOG_H_
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -26,7 +28,8 @@
 std::string FormatEvent(EventId id, std::string_view text,
                         const std::vector<EventField>& fields);
 
-// Writes events to one of the standard streams through log4cxx. Thread-safe.
+// Writes events to one of the standard streams through log4cxx. Each line ends
+// with its number, so that a gap shows lost lines. Thread-safe.
 class Log4cxxEventLog final : public EventLog {
  public:
   explicit Log4cxxEventLog(const Log4cxxEventLogOptions& options);
@@ -38,6 +41,7 @@
  private:
   class Impl;
   const Severity min_severity_;
+  std::atomic<std::uint64_t> lines_ = 0;
   const std::unique_ptr<Impl> impl_;
 };
 
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -1,5 +1,6 @@
 #include "src/router/router_daemon.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 #include <vector>
@@ -13,6 +14,10 @@
 
 // Time between two checks of the progress of a shutdown.
 constexpr absl::Duration kShutdownTick = absl::Milliseconds(50);
+// Time between two checks that the event loop runs, and the delay of a check
+// that is logged.
+constexpr absl::Duration kLoopCheckInterval = absl::Milliseconds(500);
+constexpr absl::Duration kLoopStall = absl::Milliseconds(500);
 constexpr double kBytesPerMbit = 1e6 / 8;
 constexpr char kMetricsPath[] = "/metrics";
 
@@ -110,6 +115,7 @@
   tokens_.Start();
   config_fetcher_.Start();
   quarantine_sync_.Start();
+  CheckLoop(scheduler_.Now());
   log_->Write(EventId::kDaemonStarted, Severity::kInfo, "router started",
               {{"instance", settings_.instance.id.value()},
                {"zone", settings_.instance.zone.value()},
@@ -149,6 +155,18 @@
   });
 }
 
+void RouterDaemon::CheckLoop(absl::Time due) {
+  const absl::Time now = scheduler_.Now();
+  if (now - due > kLoopStall) {
+    log_->Write(EventId::kLoopStalled, Severity::kWarning,
+                "the event loop stood still; all requests were delayed",
+                {{"ms", absl::StrCat(absl::ToInt64Milliseconds(now - due))}});
+  }
+  scheduler_.After(kLoopCheckInterval, [this, next = now + kLoopCheckInterval] {
+    CheckLoop(next);
+  });
+}
+
 bool RouterDaemon::IsReady() const {
   return !shutdown_.IsDraining() && router_.table() != nullptr &&
          target_pool_.listed() && !overload_.IsOverloaded(scheduler_.Now());
@@ -256,9 +274,17 @@
 }
 
 void RouterDaemon::Stop(std::string_view how) {
+  const auto unfinished = std::count_if(
+      connections_.begin(), connections_.end(), [](const auto& connection) {
+        return connection->busy() || connection->HasOutput();
+      });
+  // Each request has a line in the log, also if its response can't be sent.
+  ForEachConnection(
+      [](CallerConnection* connection) { connection->EndForShutdown(); });
   log_->Write(EventId::kDaemonStopped, Severity::kInfo, "router stopped",
               {{"how", std::string(how)},
-               {"connections", absl::StrCat(connections_.size())}});
+               {"connections", absl::StrCat(connections_.size())},
+               {"unfinished", absl::StrCat(unfinished)}});
   io_->stop();
 }
 
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -65,6 +65,8 @@
  private:
   void Accept();
   void WaitForSignal();
+  // Logs if it runs much later than at `due`, and schedules the next check.
+  void CheckLoop(absl::Time due);
   void BeginShutdown();
   void ContinueShutdown();
   void Stop(std::string_view how);
--- a/test/observability_test.cc
+++ b/test/observability_test.cc
@@ -126,9 +126,11 @@
     Log4cxxEventLog log({.min_severity = Severity::kWarning, .logger = "test"});
     log.Write(EventId::kDaemonReady, Severity::kInfo, "dropped", {});
     log.Write(EventId::kDaemonStopped, Severity::kError, "kept", {{"n", "1"}});
+    log.Write(EventId::kDaemonStopped, Severity::kError, "too", {});
   }
   const std::string text = testing::internal::GetCapturedStderr();
-  EXPECT_THAT(text, HasSubstr("ERROR test 1003 kept n=1\n"));
+  EXPECT_THAT(text, HasSubstr("ERROR test 1003 kept n=1 line=1\n"));
+  EXPECT_THAT(text, HasSubstr("ERROR test 1003 too line=2\n"));
   EXPECT_THAT(text, testing::Not(HasSubstr("dropped")));
 }
 
