Show that a paused reader of the log stops all requests

A full pipe in place of the standard output blocks the write of a log line, and three requests on new connections get no answer within 5 s, until the reader goes on.

Not shown by this: that the users' readers paused.

--- a/test/router_daemon_fixture.h
+++ b/test/router_daemon_fixture.h
@@ -254,7 +254,7 @@
                              .table = &table_,
                              .source = source_.get(),
                              .loads = &loads_},
-          &io_, DiscardEvents(), [] {}));
+          &io_, log_, [] {}));
       LastReason reason;
       ASSERT_TRUE(daemons_.back()->Start(&reason)) << reason.detail();
     }
@@ -298,6 +298,7 @@
   std::unique_ptr<FixedSource> source_;
   // Set before the instances are started.
   absl::Duration shutdown_grace_ = RouterSettings().shutdown_grace;
+  EventLog* log_ = DiscardEvents();
   RouterSettings settings_;
   NoLoadSource loads_{&io_};
   std::vector<std::unique_ptr<RouterDaemon>> daemons_;
