Write the log from a thread of its own, so that a paused reader stops no request

What callers saw: answers lost around a stop, a head and then a closed connection, and no log line that names the request (LOST).

Cause: each log line was written to the standard output by the thread that serves all requests. While the reader pauses and the pipe is full, that thread stands still; after a SIGTERM the process is then killed at the end of the grace, with everything in flight. The class: a call that can block on the only thread.

Ruled out: that this alone explains the users' record.

Change: LineWriter queues lines in memory, up to 512 KiB, and a thread writes them. Beyond that, lines are dropped, those below a warning first, and counted in a line of their own (1007). Lines go out whole.

--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -19,6 +19,7 @@
   kSettingsRejected = 1004,
   kSettingsReloaded = 1005,
   kLoopStalled = 1006,
+  kLogLinesDropped = 1007,
 
   // 1100-1199 platform.
   // 1200-1299 budget.
--- a/src/observability/log4cxx_event_log.h
+++ b/src/observability/log4cxx_event_log.h
@@ -29,7 +29,10 @@
                         const std::vector<EventField>& fields);
 
 // Writes events to one of the standard streams through log4cxx. Each line ends
-// with its number, so that a gap shows lost lines. Thread-safe.
+// with its number, so that a gap shows lost lines. Write never waits for the
+// reader of the stream: while the reader pauses, lines wait in memory, up to a
+// bound, and then are dropped and counted. The destructor writes what waits,
+// for a bounded time. Thread-safe.
 class Log4cxxEventLog final : public EventLog {
  public:
   explicit Log4cxxEventLog(const Log4cxxEventLogOptions& options);
--- a/test/ops_tests.cmake
+++ b/test/ops_tests.cmake
@@ -1,4 +1,6 @@
 wisteriareel_test(settings_test LIBRARIES wisteriareel_settings)
+wisteriareel_test(line_writer_test THREADED LIBRARIES
+  wisteriareel_observability)
 wisteriareel_test(observability_test THREADED LIBRARIES
   wisteriareel_observability)
 wisteriareel_test(security_test LIBRARIES wisteriareel_security rapidcheck)
--- a/test/paused_log_reader_test.cc
+++ b/test/paused_log_reader_test.cc
@@ -1,9 +1,12 @@
+#include <array>
 #include <chrono>
 #include <future>
 #include <memory>
 #include <string>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
 #include "src/observability/log4cxx_event_log.h"
@@ -45,11 +48,33 @@
   EXPECT_EQ(state, std::future_status::ready);
 }
 
+TEST(EventLogTest, CountsTheLinesThatItDrops) {
+  auto output = std::make_unique<PausedStandardOutput>();
+  std::string text;
+  {
+    Log4cxxEventLog log({.logger = "paused", .standard_output = true});
+    for (int n = 0; n < 10'000; ++n) {
+      log.Write(EventId::kRequestEnded, Severity::kInfo, "request ended", {});
+    }
+    // The next lines go out once those before were read.
+    for (int n = 0; n < 1000 && text.find(" 1007 ") == std::string::npos; ++n) {
+      absl::SleepFor(absl::Milliseconds(5));
+      text += output->ReadAvailable();
+      log.Write(EventId::kDaemonReady, Severity::kInfo, "ready", {});
+    }
+  }
+  output.reset();
+  EXPECT_THAT(text, HasSubstr("1007 lines of the log were dropped"));
+}
+
 // Requests got no response while the reader of the log paused, and during a
 // shutdown their connections were closed when the process was killed.
 TEST_F(RouterDaemonTest, APausedLogReaderDoesNotDelayRequests) {
   const ScriptedTarget target([](int fd) {
     ScriptedTarget::ReadHead(fd);
+    // Closing with the body unread would reset the connection.
+    std::array<char, 2> body;
+    EXPECT_EQ(recv(fd, body.data(), body.size(), MSG_WAITALL), 2);
     ScriptedTarget::Write(fd,
                           "HTTP/1.1 200 OK\r\nWisteriareel-Response-Seal: s\r\n"
                           "Content-Length: 4\r\n\r\ndone");
