Run no timer's function after the timer was set anew or cancelled

Cause: steady_timer::cancel doesn't take back a function whose time is over and that waits for its turn. CallerConnection's then acted on the state after the request: it closed a connection whose last response was being written, rejected with 408 a request that had just begun, or closed a connection that had become idle. The same class: any function that was set for a state and runs in a later one.

Ruled out: the reader of the log as the only reason for a standstill; a frozen machine or a quota of its processor does the same.

Change: OneShotTimer runs only the function that was set last, by construction.

Its target, and that of the test with a paused reader, read the whole request now: closing with the body unread resets the connection, which once failed the latter.

--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -65,7 +65,7 @@
     asio::ip::tcp::socket socket)
     : dependencies_(dependencies),
       socket_(std::move(socket)),
-      timer_(*dependencies.io) {}
+      timer_(dependencies.io) {}
 
 CallerConnection::~CallerConnection() = default;
 
@@ -261,7 +261,7 @@
   if (closed_) return;
   if (last_request_) {
     close_when_written_ = true;
-    timer_.cancel();
+    timer_.Cancel();
     if (!writing_) Close();
     return;
   }
@@ -325,7 +325,7 @@
   if (closed_) return;
   closed_ = true;
   const std::shared_ptr<CallerConnection> self = shared_from_this();
-  timer_.cancel();
+  timer_.Cancel();
   error_code ec;
   socket_.close(ec);
   if (exchange_ != nullptr) {
@@ -421,11 +421,11 @@
 
 void CallerConnection::ArmTimer(absl::Time when) {
   const absl::Duration remaining = when - dependencies_.clock->Now();
-  timer_.expires_after(absl::ToChronoMicroseconds(
-      std::clamp(remaining, absl::ZeroDuration(), absl::Hours(1))));
-  timer_.async_wait([self = shared_from_this()](error_code ec) {
-    if (!ec && !self->closed_) self->OnTimer();
-  });
+  timer_.Arm(absl::ToChronoMicroseconds(
+                 std::clamp(remaining, absl::ZeroDuration(), absl::Hours(1))),
+             [self = shared_from_this()] {
+               if (!self->closed_) self->OnTimer();
+             });
 }
 
 void CallerConnection::ArmIdleTimer(absl::Duration duration) {
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -10,7 +10,6 @@
 #include "absl/time/time.h"
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
-#include "boost/asio/steady_timer.hpp"
 #include "boost/beast/core/flat_buffer.hpp"
 #include "boost/beast/http/parser.hpp"
 #include "boost/beast/http/string_body.hpp"
@@ -21,6 +20,7 @@
 #include "src/runtime/head_writer.h"
 #include "src/runtime/load_probe.h"
 #include "src/runtime/message_codec.h"
+#include "src/runtime/one_shot_timer.h"
 #include "src/runtime/target_attempt.h"
 #include "src/runtime/target_connection_pool.h"
 #include "wisteriareel/clock.h"
@@ -146,7 +146,7 @@
 
   const CallerConnectionDependencies dependencies_;
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
+  OneShotTimer timer_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   bool reading_ = false;
--- a/test/paused_log_reader_test.cc
+++ b/test/paused_log_reader_test.cc
@@ -1,4 +1,3 @@
-#include <array>
 #include <chrono>
 #include <future>
 #include <memory>
@@ -71,10 +70,7 @@
 // shutdown their connections were closed when the process was killed.
 TEST_F(RouterDaemonTest, APausedLogReaderDoesNotDelayRequests) {
   const ScriptedTarget target([](int fd) {
-    ScriptedTarget::ReadHead(fd);
-    // Closing with the body unread would reset the connection.
-    std::array<char, 2> body;
-    EXPECT_EQ(recv(fd, body.data(), body.size(), MSG_WAITALL), 2);
+    ScriptedTarget::ReadRequest(fd);
     ScriptedTarget::Write(fd,
                           "HTTP/1.1 200 OK\r\nWisteriareel-Response-Seal: s\r\n"
                           "Content-Length: 4\r\n\r\ndone");
--- a/test/router_daemon_fixture.h
+++ b/test/router_daemon_fixture.h
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -183,6 +184,13 @@
     }
     return head;
   }
+  // Reads the head and the body of a RouterDaemonTest::Request. Closing a
+  // connection with the body unread resets it.
+  static void ReadRequest(int fd) {
+    ReadHead(fd);
+    std::array<char, 2> body;
+    EXPECT_EQ(recv(fd, body.data(), body.size(), MSG_WAITALL), 2);
+  }
   static void Write(int fd, const std::string& bytes) {
     EXPECT_EQ(write(fd, bytes.data(), bytes.size()),
               static_cast<ssize_t>(bytes.size()));
--- a/test/router_standstill_test.cc
+++ b/test/router_standstill_test.cc
@@ -22,7 +22,7 @@
 TEST_F(RouterDaemonTest, AStandstillDoesNotCutOffAResponse) {
   std::atomic<bool> stands_still = false;
   const ScriptedTarget target([&stands_still](int fd) {
-    ScriptedTarget::ReadHead(fd);
+    ScriptedTarget::ReadRequest(fd);
     ScriptedTarget::Write(
         fd,
         "HTTP/1.1 200 OK\r\nWisteriareel-Request-Id: q1\r\n"
