Don't close a connection to a target by an outdated connect timer

What callers saw: 502 for a request that its target runs, also on routes where a request may not be sent twice, after the event loop stood still.

Cause: steady_timer::cancel() doesn't take back a handler that is already queued. When the loop stood still for longer than the connect timeout, the connection and the timer complete in the same turn. The request is sent, and the handler of the timer then closes the connection.

Ruled out: that this explains the users' record. The caller gets a response or a retry, and each such request has its line in the log.

Change: the handler of the timer closes the socket only while it connects.

--- a/src/runtime/target_attempt.cc
+++ b/src/runtime/target_attempt.cc
@@ -89,12 +89,15 @@
   socket_ = std::make_unique<asio::ip::tcp::socket>(*io_);
   connect_timer_.expires_after(absl::ToChronoMilliseconds(kConnectTimeout));
   connect_timer_.async_wait([self = shared_from_this()](error_code ec) {
-    if (!ec) self->CloseSocket();
+    // A handler that is already queued isn't cancelled.
+    if (!ec && self->connecting_) self->CloseSocket();
   });
+  connecting_ = true;
   connecting_since_ = std::chrono::steady_clock::now();
   socket_->async_connect(
       ToAsioEndpoint(request_.address),
       [self = shared_from_this()](error_code ec) {
+        self->connecting_ = false;
         self->connect_timer_.cancel();
         if (self->observer_ == nullptr) return;
         if (ec || !self->socket_->is_open()) {
--- a/src/runtime/target_attempt.h
+++ b/src/runtime/target_attempt.h
@@ -97,6 +97,7 @@
   std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
   boost::asio::steady_timer connect_timer_;
   std::chrono::steady_clock::time_point connecting_since_;
+  bool connecting_ = false;
   bool reused_connection_ = false;
   int unrelated_responses_ = 0;
   boost::beast::flat_buffer buffer_;
