Reuse no connection that its target has closed

What callers saw: a request failed or was retried after its target had closed idle connections, and counted as a crash of the target by its prompt.

Cause: TargetConnectionPool::Acquire looked only for unread data, and the end of a connection isn't data. A handler removes closed connections, but a request that is handled in the same turn of the event loop, or after it stood still, comes before.

Ruled out: lost answers on routes that allow no repetition, which always use a new connection.

Change: Acquire peeks at the connection, as AsyncHttpClient does.

--- a/src/runtime/target_connection_pool.cc
+++ b/src/runtime/target_connection_pool.cc
@@ -3,12 +3,24 @@
 #include <algorithm>
 #include <utility>
 
+#include "boost/asio/buffer.hpp"
+
 namespace wisteriareel {
 namespace {
 
 // Maximum number of idle connections to one target; the oldest one is closed.
 constexpr std::size_t kMaxIdlePerTarget = 16;
 
+// Returns true if the peer has sent nothing and hasn't closed the connection.
+bool IsOpenAndSilent(boost::asio::ip::tcp::socket* socket) {
+  boost::system::error_code ec;
+  socket->non_blocking(true, ec);
+  char byte = 0;
+  socket->receive(boost::asio::buffer(&byte, 1),
+                  boost::asio::ip::tcp::socket::message_peek, ec);
+  return ec == boost::asio::error::would_block;
+}
+
 }  // namespace
 
 TargetConnectionPool::TargetConnectionPool(Clock* clock)
@@ -27,7 +39,8 @@
     it->second.pop_back();
     boost::system::error_code ec;
     idle->socket->cancel(ec);
-    if (ec || idle->until <= now || idle->socket->available(ec) > 0 || ec) {
+    // The handler that removes a connection may not have run yet.
+    if (ec || idle->until <= now || !IsOpenAndSilent(idle->socket.get())) {
       idle->socket->close(ec);
       continue;
     }
