Read a response that arrived while the event loop stood still

What operators saw: "reading the configuration failed" and other failed calls to the store at the moment at which a thread that had stood still went on, although the store had responded.

Cause: steady_timer::expires_at() doesn't take back a handler that is already queued. AsyncHttpClient reads a response in parts of 512 bytes and more, and arms its timer again after each. The handler of the timer that had expired during the standstill came after the first part and ended the call without a response. The outcome of a commit was then unknown.

Change: the handler does nothing if the timer was armed again.

--- a/src/runtime/async_http_client.cc
+++ b/src/runtime/async_http_client.cc
@@ -107,7 +107,12 @@
         std::min(deadline_, std::chrono::steady_clock::now() +
                                 absl::ToChronoMilliseconds(timeout_)));
     timer_.async_wait([self = shared_from_this()](error_code ec) {
-      if (!ec) self->Finish(std::nullopt);
+      // A handler that was already queued when the timer was armed again isn't
+      // cancelled.
+      if (ec || self->timer_.expiry() > std::chrono::steady_clock::now()) {
+        return;
+      }
+      self->Finish(std::nullopt);
     });
   }
 
--- a/test/async_http_client_test.cc
+++ b/test/async_http_client_test.cc
@@ -5,11 +5,15 @@
 
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "gtest/gtest.h"
@@ -81,6 +85,59 @@
   EXPECT_TRUE(ended);
 }
 
+// A response that had arrived while the thread stood still for longer than the
+// timeout was dropped after the first part of it was read.
+TEST(AsyncHttpClientTest, AResponseThatArrivesDuringAStandstillIsRead) {
+  constexpr absl::Duration kTimeout = absl::Milliseconds(500);
+  const std::string body(4000, 'x');
+  std::promise<void> request_received;
+  std::promise<void> thread_stands_still;
+  std::promise<void> response_sent;
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  std::thread server([&] {
+    boost::asio::ip::tcp::socket socket(io);
+    acceptor.accept(socket);
+    char byte = 0;
+    EXPECT_EQ(read(socket.native_handle(), &byte, 1), 1);
+    request_received.set_value();
+    thread_stands_still.get_future().wait();
+    Write(socket.native_handle(),
+          absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(),
+                       "\r\n\r\n", body));
+    response_sent.set_value();
+    // Waits for the end of the connection.
+    std::string rest(1024, ' ');
+    while (read(socket.native_handle(), rest.data(), rest.size()) > 0) {
+    }
+  });
+  boost::asio::io_context client_io;
+  std::optional<HttpResponse> result;
+  {
+    AsyncHttpClient client(
+        &client_io,
+        {.host = "127.0.0.1", .port = acceptor.local_endpoint().port()});
+    client.Start({.method = "GET", .target = "/", .timeout = kTimeout},
+                 [&result](std::optional<HttpResponse> reply) {
+                   result = std::move(reply);
+                 });
+    const std::future<void> received = request_received.get_future();
+    while (received.wait_for(std::chrono::seconds(0)) !=
+           std::future_status::ready) {
+      client_io.poll();
+    }
+    client_io.poll();
+    thread_stands_still.set_value();
+    response_sent.get_future().wait();
+    absl::SleepFor(2 * kTimeout);
+    client_io.run();
+  }
+  server.join();
+  ASSERT_TRUE(result.has_value());
+  EXPECT_EQ(result->body, body);
+}
+
 // Larger than what the buffers of a loopback connection hold.
 constexpr std::size_t kMaxEndlessBytes = 24 << 20;
 
