Divide the limit of a target among all instances by time slots

Cause: a constant per instance adds up with the number of instances. Change: slots on the platform's clock, each with one share for the instance with the highest rendezvous rank; late responses don't lift a limit; an instance that others may not list uses a part of its shares.

--- a/src/forward/target_rate_limits.h
+++ b/src/forward/target_rate_limits.h
@@ -119,6 +119,7 @@
   bool HasLimits() const;
 
  private:
+  // What a target stated, and the shares of this instance.
   struct State {
     std::int64_t started_ms = 0;
     Endpoint address;
@@ -128,17 +129,52 @@
     // the response was received.
     absl::Time sent = absl::InfinitePast();
     absl::Time received = absl::InfinitePast();
-    // A response to this instance stated `limit`, not a notice.
+    // A response to this instance stated `limit`, not only a notice.
     bool told_here = false;
     absl::Time asked_at = absl::InfinitePast();
-    // Shares before this time aren't used.
-    absl::Time usable_from = absl::InfinitePast();
+    // Time since which `limit` is known here. Earlier slots aren't used.
+    absl::Time known_since = absl::InfinitePast();
+    // The first slot that wasn't evaluated.
+    std::int64_t next_slot = 0;
+    // Starts of the unused shares, in microseconds of the platform's clock.
+    std::deque<std::int64_t> shares;
+    // Times of requests that were sent without a share.
+    std::deque<std::int64_t> unpaid;
   };
 
+  // The slots of a limit. All instances compute the same ones.
+  struct Slots {
+    std::int64_t length_us = 0;
+    std::int64_t validity_us = 0;
+    int requests_per_slot = 1;
+  };
+
+  Slots SlotsOf(double limit) const;
+  std::int64_t ToPlatformUs(absl::Time time) const;
+  // Returns the first slot that this instance may use.
+  std::int64_t FirstUsableSlot(const State& state, const Slots& slots) const;
+  bool IsOwner(std::uint64_t target_hash, std::int64_t slot,
+               absl::Time start) const;
+  // Adds the shares of the slots that have started and removes expired ones.
+  void UpdateShares(const TargetId& id, State* state, absl::Time now) const;
+  // Returns the state of this lifetime of the target, or null.
+  State* Find(const TargetEntry& target);
+  // Returns the state to apply a statement of a lifetime of a target to, or
+  // null if it has no effect. Removes the state of an earlier lifetime.
+  State* FindForUpdate(const TargetId& id, std::int64_t started_ms,
+                       const Endpoint& address, bool has_limit);
+  static void SetLimit(std::optional<double> limit, absl::Time now,
+                       State* state);
+  void RemoveOldStates(absl::Time now);
+
   const TargetRateLimitsOptions options_;
+  const std::uint64_t self_hash_;
   std::optional<absl::Time> epoch_;
-  std::vector<std::string> instances_;
-  bool confirmed_ = false;
+  // Hashes of the names of the other live instances.
+  std::vector<std::uint64_t> other_hashes_;
+  // Times from which this instance uses a part of its shares, and all.
+  absl::Time part_from_ = absl::InfiniteFuture();
+  absl::Time all_from_ = absl::InfiniteFuture();
   std::map<TargetId, State> states_;
 };
 
