Simulate a fleet that keeps a target's limit, and divide all of the limit

What callers saw: 6 instances sent 49 requests in 4 s to a target that takes 12 (LIMIT). The whole limit is divided instead of 95 in 100 of it.

--- /dev/null
+++ b/bench/limit_bench.cmake
@@ -0,0 +1,3 @@
+add_executable(rate_limit_experiment rate_limit_experiment.cc)
+target_link_libraries(rate_limit_experiment PRIVATE wisteriareel_warnings
+  rate_limit_fleet absl::str_format)
--- a/src/forward/target_rate_limits.cc
+++ b/src/forward/target_rate_limits.cc
@@ -44,7 +44,7 @@
     : options_(std::move(options)),
       self_hash_(StableHash(options_.self.value())) {}
 
-void TargetRateLimits::SetInstances(std::vector<std::string> instances,
+void TargetRateLimits::SetInstances(const std::vector<std::string>& instances,
                                     bool confirmed, absl::Time now) {
   // The slots until now belong to the owners by the previous list.
   for (auto& [id, state] : states_) UpdateShares(id, &state, now);
--- a/src/forward/target_rate_limits.h
+++ b/src/forward/target_rate_limits.h
@@ -17,13 +17,13 @@
 struct TargetRateLimitsOptions {
   InstanceId self;
   // Part of a limit that is divided into shares.
-  double divided_part = 0.95;
+  double divided_part = 1;
   // A share is valid for this time plus the time in which the limit allows
-  // `validity_requests`, within the bounds below. Shorter than the time over
-  // which targets measure their rate, less the clock error between instances
-  // and the time until a request arrives.
+  // `validity_requests`. All shares that are valid within 4 s may arrive in 4
+  // s.
   absl::Duration base_validity = absl::Milliseconds(1400);
   double validity_requests = 4;
+  // Bound of the time for which a share is valid.
   absl::Duration max_validity = absl::Seconds(10);
   // An instance uses no shares for this time after its first confirmed list,
   // and only a part of them for this time after its list is confirmed again.
@@ -75,7 +75,7 @@
   // Sets the names of the live instances, including this one, as listed now.
   // `confirmed` is false while the heartbeats of this instance aren't
   // acknowledged: its list may be old, and others may not list it.
-  void SetInstances(std::vector<std::string> instances, bool confirmed,
+  void SetInstances(const std::vector<std::string>& instances, bool confirmed,
                     absl::Time now);
 
   // Sets the local time at which the platform's clock shows zero. No shares are
