Keep the slots of a limit in place while the platform responds late

What callers saw: nothing yet; found by reading how the estimate is taken. Each estimate of the platform's clock is late by the delay of one response, so a slow platform would shift an instance's slots by seconds, beyond what the bound allows. Change: the earliest estimates count, later ones only slowly, for drift. The simulation delays the responses of the platform by up to 1 s.

--- a/src/forward/target_rate_limits.cc
+++ b/src/forward/target_rate_limits.cc
@@ -13,6 +13,8 @@
 // A slot with several requests bounds the number of slots per second.
 constexpr std::int64_t kMinSlotUs = 5000;
 constexpr int kMaxRequestsPerSlot = 500;
+// Later estimates of the platform's epoch count with this divisor.
+constexpr int kEpochSmoothing = 1024;
 // Slots that TimeUntilShare examines.
 constexpr int kMaxSlotsAhead = 1024;
 
@@ -62,7 +64,15 @@
   RemoveOldStates(now);
 }
 
-void TargetRateLimits::SetPlatformEpoch(absl::Time epoch) { epoch_ = epoch; }
+void TargetRateLimits::SetPlatformEpoch(absl::Time epoch) {
+  if (!epoch_.has_value() || epoch < *epoch_ ||
+      epoch - *epoch_ > options_.min_clock_step) {
+    epoch_ = epoch;
+    return;
+  }
+  // Follows the drift of the clocks.
+  *epoch_ += (epoch - *epoch_) / kEpochSmoothing;
+}
 
 bool TargetRateLimits::RecordResponse(const TargetEntry& target,
                                       std::optional<double> per_second,
--- a/src/forward/target_rate_limits.h
+++ b/src/forward/target_rate_limits.h
@@ -36,6 +36,8 @@
   absl::Duration max_share_interval = absl::Seconds(30);
   // Bound of the error between the platform's clock at two instances.
   absl::Duration max_clock_error = absl::Milliseconds(100);
+  // An estimate that differs more shows that a clock was set.
+  absl::Duration min_clock_step = absl::Seconds(10);
   // The end of a limit is reported to other instances for this time.
   absl::Duration end_notice_duration = absl::Minutes(1);
   // A limit is forgotten if the target was neither used nor reported for this
@@ -78,8 +80,9 @@
   void SetInstances(const std::vector<std::string>& instances, bool confirmed,
                     absl::Time now);
 
-  // Sets the local time at which the platform's clock shows zero. No shares are
-  // used before the first call.
+  // Records an estimate of the local time at which the platform's clock shows
+  // zero, late by the delay of the response that it was taken from. The
+  // earliest ones count. No shares are used before the first call.
   void SetPlatformEpoch(absl::Time epoch);
 
   // Records the requests per second that the head of a response states, unset
--- a/test/forward_target_rate_limits_test.cc
+++ b/test/forward_target_rate_limits_test.cc
@@ -293,6 +293,24 @@
   EXPECT_GE(SendAll(limits.get(), kReady + 5 * kS, kReady + 15 * kS), 80);
 }
 
+TEST(TargetRateLimitsTest, SlowResponsesOfThePlatformDoNotShiftTheSlots) {
+  auto limits = StartAlone(0.5);
+  SendAll(limits.get(), kReady, kReady + 5 * kS);
+  const absl::Duration wait =
+      *limits->TimeUntilShare(Target(), kReady + 5 * kS);
+  for (int n = 0; n < 20; ++n)
+    limits->SetPlatformEpoch(kEpoch + absl::Seconds(1));
+  EXPECT_LE(*limits->TimeUntilShare(Target(), kReady + 5 * kS),
+            wait + 25 * kMs);
+  // Clocks drift: estimates that stay later count in the end.
+  for (int n = 0; n < 10000; ++n)
+    limits->SetPlatformEpoch(kEpoch + absl::Seconds(1));
+  const absl::Duration shifted =
+      *limits->TimeUntilShare(Target(), kReady + 5 * kS);
+  EXPECT_GE(shifted, wait + 990 * kMs - 2 * kS);
+  EXPECT_NE(shifted, wait);
+}
+
 class RateLimitNoticeTest : public ::testing::Test {
  protected:
   static RateLimitNotice Notice(std::optional<double> per_second,
--- a/test/rate_limit_fleet.cc
+++ b/test/rate_limit_fleet.cc
@@ -46,6 +46,7 @@
 class RateLimiter {
  public:
   virtual ~RateLimiter() = default;
+  virtual void SetPlatformEpoch(absl::Time epoch) = 0;
   virtual void SetInstances(const std::vector<std::string>& names,
                             bool confirmed, absl::Time now) = 0;
   virtual void RecordResponse(std::optional<double> limit, absl::Time sent,
@@ -58,8 +59,10 @@
 
 class SlotLimiter : public RateLimiter {
  public:
-  SlotLimiter(const TargetRateLimitsOptions& options, absl::Time epoch)
-      : limits_(options) {
+  explicit SlotLimiter(const TargetRateLimitsOptions& options)
+      : limits_(options) {}
+
+  void SetPlatformEpoch(absl::Time epoch) override {
     limits_.SetPlatformEpoch(epoch);
   }
 
@@ -93,6 +96,8 @@
   SplitLimiter(std::string name, bool subset)
       : name_(std::move(name)), subset_(subset) {}
 
+  void SetPlatformEpoch(absl::Time /*epoch*/) override {}
+
   void SetInstances(const std::vector<std::string>& names, bool /*confirmed*/,
                     absl::Time /*now*/) override {
     const auto rank = [](const std::string& name) {
@@ -240,8 +245,7 @@
     if (options_.way == RateLimitWay::kSlots) {
       TargetRateLimitsOptions limits = options_.limits;
       limits.self = InstanceId(instance.name);
-      instance.limiter = std::make_unique<SlotLimiter>(
-          limits, start_ - kPlatformAge + instance.clock_error);
+      instance.limiter = std::make_unique<SlotLimiter>(limits);
     } else {
       instance.limiter = std::make_unique<SplitLimiter>(
           instance.name, options_.way == RateLimitWay::kSubset);
@@ -262,6 +266,12 @@
     Instance& instance = *instances_[number];
     if (!instance.cut) {
       heartbeats_[instance.name] = ++heartbeat_number_;
+      const absl::Duration delay =
+          std::min(options_.max_platform_delay,
+                   Uniform(Random() < 0.2 ? options_.max_platform_delay
+                                          : absl::Milliseconds(10)));
+      instance.limiter->SetPlatformEpoch(start_ - kPlatformAge +
+                                         instance.clock_error + delay);
       instance.acknowledged = now_;
     }
     UpdateList(&instance);
--- a/test/rate_limit_fleet.h
+++ b/test/rate_limit_fleet.h
@@ -74,6 +74,8 @@
   // Time after which a notice reaches other instances; infinite if it doesn't.
   absl::Duration notice_delay = absl::Seconds(1);
   absl::Duration max_clock_error = absl::Milliseconds(50);
+  // Delay of the platform's responses, which instances read its clock from.
+  absl::Duration max_platform_delay = absl::Seconds(1);
   // Time from a send to its arrival, and from the head to its arrival.
   absl::Duration max_delay = absl::Milliseconds(350);
   // Time from an arrival to the head of the response.
