Decode the limit that a target names in its responses

What callers saw: a target that named Server-Limit got more than that. Cause: the header was relayed and not read. Change: ResponseInfo holds the requests per second, and tells a value that can't be read apart from none, so that such a value need not end the limit in force.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -38,6 +38,11 @@
   std::optional<absl::Duration> retry_after;
   // The target leaves and accepts no new requests.
   bool leaving = false;
+  // Requests per second that the target accepts from all instances together;
+  // unset if it names no limit.
+  std::optional<double> rate_limit;
+  // The target names a limit that can't be read.
+  bool has_malformed_rate_limit = false;
   // The body has neither a length nor chunks: the end of the connection is its
   // end.
   bool ends_with_connection = false;
--- a/test/adapter_property_test.cc
+++ b/test/adapter_property_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <string>
 #include <vector>
@@ -6,6 +7,7 @@
 #include "gtest/gtest.h"
 #include "platform/load_client.h"
 #include "platform/manifest_codec.h"
+#include "platform/message_codec.h"
 #include "platform/store_codec.h"
 #include "platform/target_codec.h"
 #include "rapidcheck/gtest.h"
@@ -65,6 +67,17 @@
   RC_ASSERT(load->cache_total >= Tokens(0));
 }
 
+RC_GTEST_PROP(MessageCodecPropertyTest, ALimitIsMalformedOrInRange, ()) {
+  ResponseHead head;
+  head.result(200);
+  head.set("Server-Limit", Mutate("12.5"));
+  const ResponseInfo info = MessageCodec().DecodeResponse(head);
+  RC_ASSERT(info.rate_limit.has_value() != info.has_malformed_rate_limit);
+  if (!info.rate_limit.has_value()) return;
+  RC_ASSERT(std::isfinite(*info.rate_limit));
+  RC_ASSERT(*info.rate_limit >= 0);
+}
+
 RC_GTEST_PROP(StoreCodecPropertyTest, NoReplyIsFatal, ()) {
   const std::string text = Mutate(
       R"({"ver":9,"now_ms":5,"more_pages":false,"rows":[{"table":"t",)"
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -347,6 +347,36 @@
   EXPECT_FALSE(codec.DecodeResponse(head).leaving);
 }
 
+TEST(MessageCodecTest, DecodesTheLimitThatAServerNames) {
+  const MessageCodec codec;
+  ResponseHead head;
+  head.result(200);
+  EXPECT_EQ(codec.DecodeResponse(head).rate_limit, std::nullopt);
+  EXPECT_FALSE(codec.DecodeResponse(head).has_malformed_rate_limit);
+  head.set("server-limit", "1.25");
+  EXPECT_EQ(codec.DecodeResponse(head).rate_limit, 1.25);
+  EXPECT_FALSE(codec.DecodeResponse(head).has_malformed_rate_limit);
+  head.result(503);
+  head.set("Server-Limit", "0");
+  EXPECT_EQ(codec.DecodeResponse(head).rate_limit, 0);
+}
+
+TEST(MessageCodecTest, AMalformedLimitIsToldApartFromNone) {
+  const MessageCodec codec;
+  ResponseHead head;
+  head.result(200);
+  for (const char* text :
+       {"-1", "x", "", "nan", "inf", "-inf", "1e999", "2 3", "2,3", "2/s"}) {
+    head.set("Server-Limit", text);
+    EXPECT_EQ(codec.DecodeResponse(head).rate_limit, std::nullopt) << text;
+    EXPECT_TRUE(codec.DecodeResponse(head).has_malformed_rate_limit) << text;
+  }
+  head.set("Server-Limit", "2");
+  head.insert("Server-Limit", "3");
+  EXPECT_EQ(codec.DecodeResponse(head).rate_limit, std::nullopt);
+  EXPECT_TRUE(codec.DecodeResponse(head).has_malformed_rate_limit);
+}
+
 TEST(MessageCodecTest, ARefusalStatesRetryAfter) {
   const ResponseHead head = MessageCodec().EncodeRefusal(
       {.status = 503, .retry_after = absl::Milliseconds(250)}, RequestId("a"));
