Let the clock of the tests' platform run

What callers saw: nothing; the daemon tests' table always showed 1 ms. Cause: no code under these tests used the platform's clock to tell time. Change: the clock counts milliseconds since the table's construction, plus 1, so that shares of a limit that follow that clock can be tested.

--- a/test/router_daemon_fixture.h
+++ b/test/router_daemon_fixture.h
@@ -44,9 +44,11 @@
     return LastContact();
   }
   std::optional<TableContact> LastContact() const override {
-    return TableContact{.platform_ms = 1,
-                        .sent = SystemClock()->Now(),
-                        .received = SystemClock()->Now()};
+    const absl::Time now = SystemClock()->Now();
+    return TableContact{
+        .platform_ms = 1 + absl::ToInt64Milliseconds(now - start_),
+        .sent = now,
+        .received = now};
   }
   void Commit(const PartitionTransaction& transaction,
               CommitDone done) override {
@@ -101,6 +103,7 @@
 
  private:
   boost::asio::io_context* const io_;
+  const absl::Time start_ = SystemClock()->Now();
   // Polls without a change so far.
   std::vector<std::function<void()>> polls_;
   std::uint64_t version_ = 0;
