Send a limited target only what the decision on limits allows

What callers saw: a target that named Server-Limit got more than that. Cause: the choice of a target didn't know of limits. A target without a share is no candidate, isn't asked for its load, isn't ejected, and counts as not usable; the request goes to the next target in rendezvous order at once, so shared prompts move there together. Each placement uses a share: retries, resumed streams and attempts that never connect too. If no target may get the request, it is refused with 503 and target_limited, or 502 if an earlier attempt may have run. Line 1406 shows each change of a limit, a counter the attempts for which a target was left out. Ruled out: returning the share of an attempt that never connected; the target may have counted it. Not done: a stream that broke isn't kept until a share comes. The daemon doesn't use the decision yet.

--- a/include/wisteriareel/counters.h
+++ b/include/wisteriareel/counters.h
@@ -34,6 +34,7 @@
   kCallersRefused,
   kConfigChangesApplied,
   kPeerMessagesDropped,
+  kPlacementsAvoidingLimits,
 };
 
 // Receives the metrics of all components. Thread-safe, and cheap enough for the
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -51,6 +51,7 @@
   kTargetListUnavailable = 1403,
   kTargetListRestored = 1404,
   kTargetNotice = 1405,
+  kTargetRateLimit = 1406,
 
   // 1500-1599 config.
   kConfigLoaded = 1500,
--- a/include/wisteriareel/reason.h
+++ b/include/wisteriareel/reason.h
@@ -60,6 +60,7 @@
   kNoSuchPool = 400,
   kNoTargetAvailable = 401,
   kPoolSaturated = 402,
+  kTargetLimited = 403,
 
   // 500-599 config.
   kCustomerSuspended = 500,
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -87,6 +87,8 @@
       return "no_target_available";
     case Reason::kPoolSaturated:
       return "pool_saturated";
+    case Reason::kTargetLimited:
+      return "target_limited";
 
     case Reason::kCustomerSuspended:
       return "customer_suspended";
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -183,12 +183,12 @@
   if (RefuseIfQuarantined(now)) return;
   placement_ = services_.pool->Choose(GetRequirements(), now);
   if (!placement_.has_value()) {
-    FailRequest(503, Reason::kNoTargetAvailable,
-                services_.pool->TimeUntilAccepted(request_.service, now)
-                    .value_or(kBusyRetryAfter),
-                now);
+    FailWithoutTarget(now);
     return;
   }
+  if (placement_->avoided_limit) {
+    services_.counters->Add(Counter::kPlacementsAvoidingLimits, 1);
+  }
   tried_.push_back(placement_->target.id);
   phase_ = Phase::kSent;
   sent_at_ = now;
@@ -214,6 +214,18 @@
   delegate_->StartAttempt(options);
 }
 
+void Exchange::FailWithoutTarget(absl::Time now) {
+  if (services_.pool->FindExhaustedRateLimit(request_.service, tried_, now)
+          .has_value()) {
+    FailAttempt(Reason::kTargetLimited, now);
+    return;
+  }
+  FailRequest(503, Reason::kNoTargetAvailable,
+              services_.pool->TimeUntilAccepted(request_.service, now)
+                  .value_or(kBusyRetryAfter),
+              now);
+}
+
 void Exchange::EndAttempt(AttemptOutcome outcome, absl::Time now) {
   if (!placement_.has_value()) return;
   const std::optional<TargetChange> change =
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -205,6 +205,10 @@
   bool AcquireRetry(bool not_run, Reason reason, absl::Time now);
   // Records what the response says about further requests to its target.
   void RecordNotice(const ResponseInfo& info, absl::Time now);
+  // Records the rate limit that the response states.
+  void RecordRateLimit(const ResponseInfo& info, absl::Time now);
+  // Ends the request because no target accepts it now.
+  void FailWithoutTarget(absl::Time now);
   void EndAttempt(AttemptOutcome outcome, absl::Time now);
   void RelayEvents(std::string_view bytes, absl::Time now);
   // Refuses the request, or ends its response, if its prompt is quarantined.
--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -67,8 +67,8 @@
 
 }  // namespace
 
-TargetPool::TargetPool(TargetPoolOptions options)
-    : options_(std::move(options)) {}
+TargetPool::TargetPool(TargetPoolOptions options, TargetRateLimits* rate_limits)
+    : options_(std::move(options)), rate_limits_(rate_limits) {}
 
 std::vector<TargetChange> TargetPool::ApplyListing(
     const std::vector<TargetEntry>& listing, absl::Time now) {
@@ -118,6 +118,15 @@
 
 bool TargetPool::IsUsable(const State& state, const ServiceId& service,
                           absl::Time now) const {
+  return IsOpen(state, service, now) && HasRateShare(state, now);
+}
+
+bool TargetPool::HasRateShare(const State& state, absl::Time now) const {
+  return rate_limits_ == nullptr || rate_limits_->MaySend(state.entry, now);
+}
+
+bool TargetPool::IsOpen(const State& state, const ServiceId& service,
+                        absl::Time now) const {
   if (state.entry.service != service || state.entry.draining ||
       (state.missing && now >= grace_until_)) {
     return false;
@@ -155,6 +164,28 @@
   return changed;
 }
 
+bool TargetPool::RecordRateLimit(const TargetEntry& target,
+                                 std::optional<double> per_second,
+                                 absl::Time sent, absl::Time now) {
+  return rate_limits_ != nullptr &&
+         rate_limits_->RecordResponse(target, per_second, sent, now);
+}
+
+std::optional<double> TargetPool::FindExhaustedRateLimit(
+    const ServiceId& service, const std::vector<TargetId>& tried,
+    absl::Time now) const {
+  if (rate_limits_ == nullptr) return std::nullopt;
+  std::optional<double> per_second;
+  for (const auto& [id, state] : targets_) {
+    if (!IsOpen(state, service, now)) continue;
+    if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
+    if (HasRateShare(state, now)) return std::nullopt;
+    per_second =
+        per_second.value_or(0) + rate_limits_->Limit(state.entry).value_or(0);
+  }
+  return per_second;
+}
+
 void TargetPool::RemoveOldNotices(absl::Time now) {
   std::erase_if(notices_, [this, now](const auto& entry) {
     return !targets_.contains(entry.first) &&
@@ -176,28 +207,33 @@
   return first;
 }
 
-std::vector<TargetPool::Candidate> TargetPool::FindCandidates(
+TargetPool::Candidates TargetPool::FindCandidates(
     const PlacementRequirements& requirements, absl::Time now) {
   const bool has_prefix = !requirements.prefix_key.empty();
   const std::uint64_t seed =
       has_prefix ? StableHash(requirements.prefix_key) : 0;
-  std::vector<Candidate> usable;
+  Candidates usable;
   std::vector<Candidate> ejected;
   for (auto& [id, state] : targets_) {
-    if (!IsUsable(state, requirements.service, now)) continue;
+    if (!IsOpen(state, requirements.service, now)) continue;
     if (std::find(requirements.tried.begin(), requirements.tried.end(), id) !=
         requirements.tried.end()) {
       continue;
     }
+    if (!HasRateShare(state, now)) {
+      usable.avoided_limit = true;
+      continue;
+    }
     // After an ejection one request at a time probes the target.
     const bool is_ejected = state.ejected_until > now ||
                             (state.on_probation && state.in_flight > 0);
-    (is_ejected ? ejected : usable)
+    (is_ejected ? ejected : usable.targets)
         .push_back({.state = &state,
                     .rank = has_prefix ? StableHash(id.value(), seed) : 0});
   }
   // Ejection never removes the last target.
-  return usable.empty() ? ejected : usable;
+  if (usable.targets.empty()) usable.targets = std::move(ejected);
+  return usable;
 }
 
 double TargetPool::EstimatePrefillMs(const State& state,
@@ -259,7 +295,7 @@
     const PlacementRequirements& requirements, absl::Time now) {
   std::vector<TargetEntry> to_query;
   if (!requirements.engine) return to_query;
-  std::vector<Candidate> candidates = FindCandidates(requirements, now);
+  std::vector<Candidate> candidates = FindCandidates(requirements, now).targets;
   if (candidates.size() < 2) return to_query;
   const auto end =
       candidates.begin() +
@@ -287,16 +323,16 @@
 
 std::optional<Placement> TargetPool::Choose(
     const PlacementRequirements& requirements, absl::Time now) {
-  const std::vector<Candidate> candidates = FindCandidates(requirements, now);
+  const Candidates candidates = FindCandidates(requirements, now);
   std::uint64_t max_rank = 0;
-  for (const Candidate& it : candidates) {
+  for (const Candidate& it : candidates.targets) {
     max_rank = std::max(max_rank, it.rank);
   }
   State* best = nullptr;
   std::uint64_t best_rank = 0;
   double best_cost = 0;
   double best_prefill_ms = 0;
-  for (const Candidate& it : candidates) {
+  for (const Candidate& it : candidates.targets) {
     const double prefill_ms =
         EstimatePrefillMs(*it.state, requirements, it.rank == max_rank, now);
     const double cost = EstimateCost(*it.state, requirements, prefill_ms, now);
@@ -311,6 +347,7 @@
   }
   if (best == nullptr) return std::nullopt;
   ++best->in_flight;
+  if (rate_limits_ != nullptr) rate_limits_->RecordSend(best->entry, now);
   if (requirements.engine) {
     best->pending_prefill_ms += best_prefill_ms;
     UpdateAverage(best_prefill_ms, &mean_prefill_ms_);
@@ -318,7 +355,8 @@
   }
   return Placement{.target = best->entry,
                    .prefill_ms = requirements.engine ? best_prefill_ms : 0,
-                   .engine = requirements.engine};
+                   .engine = requirements.engine,
+                   .avoided_limit = candidates.avoided_limit};
 }
 
 void TargetPool::RecordSentPrefix(State* state,
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "src/forward/target_entry.h"
 #include "src/forward/target_load.h"
+#include "src/forward/target_rate_limits.h"
 #include "wisteriareel/types.h"
 
 namespace wisteriareel {
@@ -37,6 +38,8 @@
   double prefill_ms = 0;
   bool engine = false;
   bool started = false;
+  // Another target was left out because its rate limit allows no request now.
+  bool avoided_limit = false;
 
   friend bool operator==(const Placement&, const Placement&) = default;
 };
@@ -106,7 +109,9 @@
 // a distant availability zone. Not thread-safe.
 class TargetPool {
  public:
-  explicit TargetPool(TargetPoolOptions options);
+  // `rate_limits` must outlive the pool. Null if no target limits its requests.
+  explicit TargetPool(TargetPoolOptions options,
+                      TargetRateLimits* rate_limits = nullptr);
 
   // Applies a complete listing, read from the platform at `now`. Returns the
   // resulting changes.
@@ -123,8 +128,9 @@
   void RecordLoad(const TargetId& id, const std::optional<TargetLoad>& load,
                   absl::Time now);
 
-  // Chooses a target and adds the request to its load. Returns nullopt if no
-  // target is available.
+  // Chooses a target and adds the request to its load. Uses a share of the
+  // target's rate limit, if it has one. Returns nullopt if no target is
+  // available.
   std::optional<Placement> Choose(const PlacementRequirements& requirements,
                                   absl::Time now);
 
@@ -143,6 +149,21 @@
   bool RecordNotice(const TargetEntry& target, const TargetNotice& notice,
                     absl::Time now);
 
+  // Records the requests per second that a response of `target` states, unset
+  // if it states none. `sent` is the time when its request was sent. Returns
+  // true if the limit in force here changed.
+  bool RecordRateLimit(const TargetEntry& target,
+                       std::optional<double> per_second, absl::Time sent,
+                       absl::Time now);
+
+  // Returns the requests per second that the targets of `service` accept from
+  // all instances together, if none of them accepts one from this instance now
+  // and at least one will as soon as its rate limit allows it. Returns nullopt
+  // otherwise. Ignores the targets in `tried`.
+  std::optional<double> FindExhaustedRateLimit(
+      const ServiceId& service, const std::vector<TargetId>& tried,
+      absl::Time now) const;
+
   // Returns the time until the first target of `service` accepts requests again
   // by its notice, or nullopt if none will.
   std::optional<absl::Duration> TimeUntilAccepted(const ServiceId& service,
@@ -151,7 +172,8 @@
   // Returns true once a listing was applied.
   bool listed() const { return listed_; }
 
-  // Returns the number of targets of `service` that accept requests.
+  // Returns the number of targets of `service` that accept requests. A target
+  // whose rate limit allows no request now accepts none.
   int CountUsable(const ServiceId& service, absl::Time now) const;
 
   // Returns true if a target of `service` that isn't in `tried` accepts
@@ -206,6 +228,12 @@
     std::uint64_t rank = 0;
   };
 
+  struct Candidates {
+    std::vector<Candidate> targets;
+    // A target was left out because its rate limit allows no request now.
+    bool avoided_limit = false;
+  };
+
   // Returns the expected cost in milliseconds of a placement at a target, where
   // `prefill_ms` is the expected prefill time of the prompt.
   double EstimateCost(const State& state,
@@ -221,17 +249,22 @@
                            bool is_affinity_target, absl::Time now) const;
   bool IsUsable(const State& state, const ServiceId& service,
                 absl::Time now) const;
+  // Like IsUsable, whatever the target's rate limit.
+  bool IsOpen(const State& state, const ServiceId& service,
+              absl::Time now) const;
+  bool HasRateShare(const State& state, absl::Time now) const;
   // Returns the notice of the target, or null if there is none.
   const TargetNotice* FindNotice(const TargetEntry& target) const;
   void RemoveOldNotices(absl::Time now);
-  std::vector<Candidate> FindCandidates(
-      const PlacementRequirements& requirements, absl::Time now);
+  Candidates FindCandidates(const PlacementRequirements& requirements,
+                            absl::Time now);
   void RecordSentPrefix(State* state, const PlacementRequirements& requirements,
                         absl::Time now);
   std::optional<TargetChange> Eject(State* state, absl::Time now);
   double MeanFailureRate(const ServiceId& service) const;
 
   const TargetPoolOptions options_;
+  TargetRateLimits* const rate_limits_;
   bool listed_ = false;
   absl::Time last_listing_ = absl::InfinitePast();
   absl::Time grace_until_ = absl::InfinitePast();
--- a/src/observability/metric_names.cc
+++ b/src/observability/metric_names.cc
@@ -35,6 +35,10 @@
     case Counter::kPeerMessagesDropped:
       return {"wisteriareel_peer_messages_dropped_total",
               "Messages to other instances dropped before they were sent."};
+    case Counter::kPlacementsAvoidingLimits:
+      return {"wisteriareel_placements_avoiding_limits_total",
+              "Attempts for which a target was left out because its rate limit "
+              "allowed no request."};
   }
   return {};
 }
