Start the tests of limited targets between two slots

Cause: its start time now fell on the start of a slot of limits of 1 and 0.5 per second, so there was a share where the test expects none. Change: the start time lies between slots. The checks are unchanged. Measured: forward_limited_target_test, 12 tests, passes.

--- a/test/forward_limited_target_test.cc
+++ b/test/forward_limited_target_test.cc
@@ -16,8 +16,9 @@
 using ::testing::Not;
 using ::testing::SizeIs;
 
-// Not at the start of a slot of a limit of zero.
-const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1) + absl::Seconds(1);
+// Not at the start of a slot of the limits in these tests.
+const absl::Time kStart =
+    absl::UnixEpoch() + absl::Hours(1) + absl::Milliseconds(1300);
 const ServiceId kService("s");
 
 TargetEntry MakeTarget(int n) {
