Share the limits of targets among the instances

What callers saw: a target that named Server-Limit got more than that, the more the more instances sent to it. Cause: each instance sent as if it were alone. Change: the daemon lets the decision on limits choose when it may send. Each instance writes what targets told it into the row limits/INSTANCE of the table "members", together with a heartbeat when it changes; the others read it with the heartbeats. The registry reports the live instances and whether the own heartbeats are acknowledged, and removes rows without a heartbeat row. Instances of an older build skip these rows: their text isn't a heartbeat. Ruled out: counting an instance as gone because its heartbeat stands still while the platform takes no writes. Not done: an instance that was frozen uses its old list until its next heartbeats.

--- a/src/router/instance_registry.cc
+++ b/src/router/instance_registry.cc
@@ -1,9 +1,11 @@
 #include "src/router/instance_registry.h"
 
 #include <algorithm>
+#include <cstring>
 #include <optional>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -13,6 +15,9 @@
 namespace {
 
 constexpr char kTable[] = "members";
+// Key of a report on rate limits, before the instance's name. An old build
+// skips these rows, since their values aren't heartbeats.
+constexpr char kReportPrefix[] = "limits/";
 // Fields of a heartbeat of an old build, and of an ended incarnation.
 constexpr std::size_t kOldFields = 4;
 constexpr std::size_t kEndedFields = 3;
@@ -73,6 +78,10 @@
   return {.table = kTable, .partition = "", .key = name};
 }
 
+PartitionRowKey InstanceRegistry::ReportRowOf(const std::string& name) const {
+  return RowOf(kReportPrefix + name);
+}
+
 void InstanceRegistry::Start() {
   started_ = scheduler_->Now();
   owner_->OnInstancesCounted(options_.assumed_instances);
@@ -88,7 +97,10 @@
                    return;
                  }
                  std::optional<InstanceHeartbeat> last;
+                 written_report_ = "";
                  for (const PartitionRow& row : rows->rows) {
+                   if (row.key == ReportRowOf(options_.self.value()))
+                     written_report_ = row.value;
                    if (row.key.key != options_.self.value()) continue;
                    last = DecodeInstanceHeartbeat(row.value);
                  }
@@ -114,13 +126,28 @@
   if (contact.has_value()) heartbeat_.contact_ms = *contact;
   heartbeat_.ended = owner_->EndedIncarnations();
   ++heartbeat_.number;
-  const PartitionTransaction transaction{
+  PartitionTransaction transaction{
       .writes = {{.key = RowOf(options_.self.value()),
                   .value = EncodeInstanceHeartbeat(heartbeat_)}}};
+  std::optional<std::string> report = owner_->RateLimitReport();
+  if (report == written_report_) {
+    report.reset();
+  } else {
+    PartitionRowWrite write{.key = ReportRowOf(options_.self.value())};
+    if (!report->empty()) write.value = report;
+    transaction.writes.push_back(std::move(write));
+  }
   // A failed write isn't retried, since the next heartbeat follows.
-  table_->Commit(transaction, [this](const CommitReply& reply) {
-    if (reply.outcome != CommitOutcome::kCommitted) {
+  table_->Commit(transaction, [this, report](const CommitReply& reply) {
+    const bool committed = reply.outcome == CommitOutcome::kCommitted;
+    if (report.has_value()) {
+      written_report_ = committed ? report : std::nullopt;
+    }
+    if (!committed) {
+      const bool was_acknowledged =
+          acknowledged_since_ != absl::InfiniteFuture();
       acknowledged_since_ = absl::InfiniteFuture();
+      if (was_acknowledged) ReportInstances();
     } else if (acknowledged_since_ == absl::InfiniteFuture()) {
       acknowledged_since_ = scheduler_->Now();
     }
@@ -142,7 +169,12 @@
   read_at_ = now;
   std::map<std::string, Member> members;
   PartitionTransaction removal;
+  std::vector<const PartitionRow*> reports;
   for (const PartitionRow& row : rows) {
+    if (absl::StartsWith(row.key.key, kReportPrefix)) {
+      reports.push_back(&row);
+      continue;
+    }
     const std::optional<InstanceHeartbeat> heartbeat =
         DecodeInstanceHeartbeat(row.value);
     if (!heartbeat.has_value()) continue;
@@ -161,6 +193,17 @@
     members[row.key.key] = member;
   }
   members_ = std::move(members);
+  for (const PartitionRow* row : reports) {
+    const std::string name = row->key.key.substr(std::strlen(kReportPrefix));
+    if (name == options_.self.value()) continue;
+    if (members_.contains(name)) {
+      owner_->OnRateLimitReport(name, row->value);
+    } else {
+      // Heartbeat and report are written together, so the instance is gone.
+      removal.conditions.push_back({.key = row->key, .version = row->version});
+      removal.writes.push_back({.key = row->key});
+    }
+  }
   int alive = 0;
   for (const auto& [name, member] : members_) {
     if (name == options_.self.value() ||
@@ -172,11 +215,31 @@
   const bool starting = now - started_ < options_.assumed_duration;
   owner_->OnInstancesCounted(
       starting ? std::max(alive_, options_.assumed_instances) : alive_);
+  ReportInstances();
   if (!removal.writes.empty()) {
     table_->Commit(removal, [](const CommitReply&) {});
   }
 }
 
+bool InstanceRegistry::IsWritable() const {
+  // All heartbeats need a while to change again after the platform took none.
+  return read_at_ - acknowledged_since_ > options_.home_timeout / 2;
+}
+
+void InstanceRegistry::ReportInstances() {
+  const bool writable = IsWritable();
+  std::vector<std::string> names = {options_.self.value()};
+  for (const auto& [name, member] : members_) {
+    if (name == options_.self.value()) continue;
+    if (writable && read_at_ - member.changed_at > options_.home_timeout) {
+      continue;
+    }
+    names.push_back(name);
+  }
+  owner_->OnInstancesListed(names,
+                            acknowledged_since_ != absl::InfiniteFuture());
+}
+
 std::vector<Endpoint> InstanceRegistry::OtherInstances() const {
   std::vector<Endpoint> others;
   for (const auto& [name, member] : members_) {
@@ -207,9 +270,7 @@
   const std::uint64_t seed = StableHash(key);
   std::uint64_t best = StableHash(options_.self.value(), seed);
   std::optional<Endpoint> home;
-  // All heartbeats need a while to change again after the platform took none.
-  const bool writable =
-      read_at_ - acknowledged_since_ > options_.home_timeout / 2;
+  const bool writable = IsWritable();
   for (const auto& [name, member] : members_) {
     if (name == options_.self.value()) continue;
     if (writable && read_at_ - member.changed_at > options_.home_timeout) {
@@ -234,7 +295,8 @@
 
 void InstanceRegistry::Leave() {
   leaving_ = true;
-  table_->Commit({.writes = {{.key = RowOf(options_.self.value())}}},
+  table_->Commit({.writes = {{.key = RowOf(options_.self.value())},
+                             {.key = ReportRowOf(options_.self.value())}}},
                  [](const CommitReply&) {});
 }
 
--- a/src/router/instance_registry.h
+++ b/src/router/instance_registry.h
@@ -86,6 +86,18 @@
   virtual std::optional<std::int64_t> ContactToReport() = 0;
   // Returns the incarnations that the heartbeat lists, newest first.
   virtual std::vector<EndedIncarnation> EndedIncarnations() = 0;
+  // Called with the names of the live instances, including this one, after each
+  // read, and when the heartbeats stop being acknowledged. `confirmed` is false
+  // while they aren't: the others may count this instance as gone.
+  virtual void OnInstancesListed(const std::vector<std::string>& names,
+                                 bool confirmed) = 0;
+  // Called with the report of an instance on the rate limits of targets, as
+  // read.
+  virtual void OnRateLimitReport(const std::string& instance,
+                                 const std::string& report) = 0;
+  // Returns this instance's report, empty if there is none. It is written with
+  // a heartbeat when it changes.
+  virtual std::string RateLimitReport() = 0;
 };
 
 // Announces this instance to the others by heartbeats and tracks the other
@@ -98,7 +110,7 @@
 
   void Start();
 
-  // Deletes this instance's heartbeat row.
+  // Deletes this instance's rows.
   void Leave();
 
   // Returns the addresses of the other instances, as of the last read.
@@ -129,7 +141,13 @@
   void ListInstances();
   void ReadPreviousHeartbeat();
   void ApplyRows(const std::vector<PartitionRow>& rows);
+  void ReportInstances();
+  // Returns true if heartbeats that don't change show that their instances are
+  // gone, and not that the platform took no writes.
+  bool IsWritable() const;
   PartitionRowKey RowOf(const std::string& name) const;
+  // The row with the report of an instance on the rate limits of targets.
+  PartitionRowKey ReportRowOf(const std::string& name) const;
 
   const InstanceRegistryOptions options_;
   AsyncTable* const table_;
@@ -147,6 +165,8 @@
   // no writes, the heartbeats of others don't change either.
   absl::Time acknowledged_since_ = absl::InfiniteFuture();
   std::map<std::string, Member> members_;
+  // The report that this instance's row holds; unset if that isn't known.
+  std::optional<std::string> written_report_;
 };
 
 }  // namespace wisteriareel
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -16,12 +16,14 @@
 #include "src/forward/retry_limiter.h"
 #include "src/forward/shutdown_plan.h"
 #include "src/forward/target_pool.h"
+#include "src/forward/target_rate_limits.h"
 #include "src/observability/histogram_counters.h"
 #include "src/router/asio_scheduler.h"
 #include "src/router/deployment_source.h"
 #include "src/router/http_peer_client.h"
 #include "src/router/peer_config_fetcher.h"
 #include "src/router/quarantine_sync.h"
+#include "src/router/rate_limit_sync.h"
 #include "src/router/route_config_poller.h"
 #include "src/router/router_settings.h"
 #include "src/router/target_list_poller.h"
@@ -98,8 +100,10 @@
   const std::unique_ptr<RandomSource> random_;
   HistogramCounters counters_;
   AsioScheduler scheduler_;
+  TargetRateLimits rate_limits_;
   TargetPool target_pool_;
   RetryLimiter retry_limiter_;
+  RateLimitSync rate_limit_sync_;
   HttpPeerClient peer_client_;
   TokenPlane tokens_;
   RequestRouter router_;
--- a/src/router/token_plane.cc
+++ b/src/router/token_plane.cc
@@ -34,6 +34,7 @@
       scheduler_(dependencies.scheduler),
       log_(dependencies.log),
       owner_(dependencies.owner),
+      rate_limits_(dependencies.rate_limits),
       started_(dependencies.scheduler->Now()),
       ledger_({.instance = options_.instance.value(),
                .incarnation = options_.incarnation}),
@@ -192,6 +193,20 @@
   return ended_;
 }
 
+void TokenPlane::OnInstancesListed(const std::vector<std::string>& names,
+                                   bool confirmed) {
+  if (rate_limits_ != nullptr) rate_limits_->ApplyInstances(names, confirmed);
+}
+
+void TokenPlane::OnRateLimitReport(const std::string& instance,
+                                   const std::string& report) {
+  if (rate_limits_ != nullptr) rate_limits_->ApplyReport(instance, report);
+}
+
+std::string TokenPlane::RateLimitReport() {
+  return rate_limits_ == nullptr ? "" : rate_limits_->GetReport();
+}
+
 std::optional<std::int64_t> TokenPlane::ContactToReport() {
   const std::optional<TableContact> commit = table_->LastCommitContact();
   const std::optional<TableContact> clock = table_->LastContact();
--- a/src/router/token_plane.h
+++ b/src/router/token_plane.h
@@ -14,6 +14,7 @@
 #include "src/router/ledger_transaction_sender.h"
 #include "src/router/peer_client.h"
 #include "src/router/peer_loans.h"
+#include "src/router/rate_limit_sync.h"
 #include "src/router/scheduler.h"
 #include "wisteriareel/async_table.h"
 #include "wisteriareel/event_log.h"
@@ -51,6 +52,8 @@
   RandomSource* random = nullptr;
   EventLog* log = nullptr;
   TokenPlaneOwner* owner = nullptr;
+  // Null if this instance shares no rate limits of targets.
+  RateLimitSync* rate_limits = nullptr;
 };
 
 // The prepaid tokens of one instance: the ledger, its transactions with the
@@ -100,6 +103,11 @@
       const std::optional<InstanceHeartbeat>& last) override;
   std::optional<std::int64_t> ContactToReport() override;
   std::vector<EndedIncarnation> EndedIncarnations() override;
+  void OnInstancesListed(const std::vector<std::string>& names,
+                         bool confirmed) override;
+  void OnRateLimitReport(const std::string& instance,
+                         const std::string& report) override;
+  std::string RateLimitReport() override;
 
   // Asks other instances to return tokens of customers whose pool is empty.
   void GatherTokens();
@@ -116,6 +124,7 @@
   Scheduler* const scheduler_;
   EventLog* const log_;
   TokenPlaneOwner* const owner_;
+  RateLimitSync* const rate_limits_;
   const absl::Time started_;
   PrepaidLedger ledger_;
   InstanceRegistry registry_;
--- a/test/router_components_test.cc
+++ b/test/router_components_test.cc
@@ -224,6 +224,11 @@
   }
   std::optional<std::int64_t> ContactToReport() override { return 4711; }
   std::vector<EndedIncarnation> EndedIncarnations() override { return {}; }
+  void OnInstancesListed(const std::vector<std::string>& /*names*/,
+                         bool /*confirmed*/) override {}
+  void OnRateLimitReport(const std::string& /*instance*/,
+                         const std::string& /*report*/) override {}
+  std::string RateLimitReport() override { return ""; }
 
   int count = 0;
   std::optional<InstanceHeartbeat> previous;
--- a/test/router_target_limit_test.cc
+++ b/test/router_target_limit_test.cc
@@ -23,6 +23,12 @@
 // Time between two requests to one instance.
 constexpr absl::Duration kRequestInterval = absl::Milliseconds(100);
 constexpr absl::Duration kDemandTime = absl::Milliseconds(8500);
+// Time from the start of the instances until they share a limit, and until the
+// end of the requests that show it.
+constexpr absl::Duration kStartTime = absl::Seconds(10);
+constexpr absl::Duration kLongDemandTime = absl::Seconds(16);
+// Part of a limit that is used while there is demand.
+constexpr double kMinUsedPart = 0.8;
 // Time from the first response that names the limit until it must hold.
 constexpr absl::Duration kStableWindow = absl::Seconds(3);
 constexpr absl::Duration kCountingTime = absl::Seconds(4);
@@ -97,12 +103,13 @@
 
 class TargetLimitTest : public RouterDaemonTest {
  protected:
-  // Sends requests to all instances at a steady rate.
-  void SendDemand() {
+  // Sends requests to all instances at a steady rate for `duration`.
+  void SendDemand(absl::Duration duration) {
     std::vector<std::thread> callers;
     callers.reserve(kInstances);
     for (int n = 0; n < kInstances; ++n) {
-      callers.emplace_back([this, n] { SendToInstance(n); });
+      callers.emplace_back(
+          [this, n, duration] { SendToInstance(n, duration); });
     }
     for (std::thread& caller : callers) caller.join();
   }
@@ -148,22 +155,30 @@
   };
 
   std::atomic<int> sent_ = 0;
+  // Responses that tell the caller to return later.
+  std::atomic<int> refused_ = 0;
   std::mutex mutex_;
   std::vector<Relayed> relayed_;
 
  private:
-  void SendToInstance(int instance) {
+  void SendToInstance(int instance, absl::Duration duration) {
     const absl::Time start = SystemClock()->Now();
     for (int n = 0;; ++n) {
       const absl::Duration elapsed = n * kRequestInterval;
-      if (elapsed >= kDemandTime) return;
+      if (elapsed >= duration) return;
       SystemClock()->Sleep(start + elapsed - SystemClock()->Now());
       ++sent_;
       RawConnection caller(CallerPort(instance));
       caller.Send(
           Request(absl::StrCat(instance, "-", n), "Connection: close\r\n"));
       const std::string response = caller.ReadAll();
-      if (!absl::StartsWith(response, "HTTP/1.1 200")) continue;
+      if (!absl::StartsWith(response, "HTTP/1.1 200")) {
+        if (absl::StartsWith(response, "HTTP/1.1 503") &&
+            absl::StrContains(response, "Retry-After: ")) {
+          ++refused_;
+        }
+        continue;
+      }
       const std::vector<std::string> parts =
           absl::StrSplit(response, "\r\n\r\n");
       const std::lock_guard<std::mutex> lock(mutex_);
@@ -182,11 +197,31 @@
   StartInstances(kInstances, MakeConfig(RouteKind::kIdempotent),
                  {MakeTarget("limited", limited.port()),
                   MakeTarget("unlimited", unlimited.port())});
-  SendDemand();
+  SendDemand(kDemandTime);
   EXPECT_LE(MaxCounted("limited", limited.arrivals()), MaxArrivals(kLimit));
   // The other target takes what the limited one may not get.
   EXPECT_EQ(relayed_.size(), static_cast<std::size_t>(sent_));
 }
 
+TEST_F(TargetLimitTest, InstancesTogetherUseTheLimitOfTheOnlyTarget) {
+  constexpr double kLimit = 5;
+  CountingTarget limited("limited", kLimit);
+  StartInstances(kInstances, MakeConfig(RouteKind::kIdempotent),
+                 {MakeTarget("limited", limited.port())});
+  const absl::Time start = SystemClock()->Now();
+  SendDemand(kLongDemandTime);
+  const std::vector<Arrival> arrivals = limited.arrivals();
+  EXPECT_LE(MaxCounted("limited", arrivals), MaxArrivals(kLimit));
+  const auto used = std::count_if(arrivals.begin(), arrivals.end(),
+                                  [start](const Arrival& arrival) {
+                                    return arrival.at >= start + kStartTime;
+                                  });
+  EXPECT_GE(used, kMinUsedPart * kLimit *
+                      absl::ToDoubleSeconds(kLongDemandTime - kStartTime));
+  // The others were told to return later.
+  EXPECT_EQ(relayed_.size() + static_cast<std::size_t>(refused_),
+            static_cast<std::size_t>(sent_));
+}
+
 }  // namespace
 }  // namespace wisteriareel
