Spread the return of callers that the limits of all targets refuse

What callers saw: each refused caller was told to return after 0.5 s, so a burst returned as a burst. Cause: Retry-After was a constant. Change: an exchange that no target may take asks LimitedReturnSchedule, and one that hasn't been sent yet leaves the next share to a more urgent caller that is about to return. The urgency is that which engines get: customer before route. Not done: the rate is divided by the number of instances, but the times that different instances hand out aren't coordinated.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -181,9 +181,19 @@
 
 void Exchange::Send(absl::Time now) {
   if (RefuseIfQuarantined(now)) return;
-  placement_ = services_.pool->Choose(GetRequirements(), now);
+  const std::optional<LimitedRequest> limited = GetLimitedRequest(now);
+  if (!limited.has_value() || !LeavesShare(*limited, now)) {
+    placement_ = services_.pool->Choose(GetRequirements(), now);
+  }
   if (!placement_.has_value()) {
-    FailWithoutTarget(now);
+    if (limited.has_value()) {
+      FailLimited(*limited, now);
+      return;
+    }
+    FailRequest(503, Reason::kNoTargetAvailable,
+                services_.pool->TimeUntilAccepted(request_.service, now)
+                    .value_or(kBusyRetryAfter),
+                now);
     return;
   }
   if (placement_->avoided_limit) {
@@ -204,26 +214,16 @@
                                              : request_.info.resume_after,
                          .time_left = Deadline() - now,
                          .customer = request_.customer};
-  if (request_.engine.has_value()) {
-    options.urgency = std::clamp(
-        request_.customer_priority.value_or(0) * kUrgencyPerCustomerPriority +
-            request_.route->priority,
-        0, kLeastUrgent);
-  }
+  if (request_.engine.has_value()) options.urgency = Urgency();
   SetTimer(now);
   delegate_->StartAttempt(options);
 }
 
-void Exchange::FailWithoutTarget(absl::Time now) {
-  if (services_.pool->FindExhaustedRateLimit(request_.service, tried_, now)
-          .has_value()) {
-    FailAttempt(Reason::kTargetLimited, now);
-    return;
-  }
-  FailRequest(503, Reason::kNoTargetAvailable,
-              services_.pool->TimeUntilAccepted(request_.service, now)
-                  .value_or(kBusyRetryAfter),
-              now);
+int Exchange::Urgency() const {
+  return std::clamp(
+      request_.customer_priority.value_or(0) * kUrgencyPerCustomerPriority +
+          request_.route->priority,
+      0, kLeastUrgent);
 }
 
 void Exchange::EndAttempt(AttemptOutcome outcome, absl::Time now) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "src/forward/caller_response.h"
 #include "src/forward/event_splitter.h"
+#include "src/forward/limited_return_schedule.h"
 #include "src/forward/overload_guard.h"
 #include "src/forward/prepaid_ledger.h"
 #include "src/forward/prompt_quarantine.h"
@@ -102,6 +103,8 @@
   const OverloadGuard* overload = nullptr;
   PrepaidLedger* ledger = nullptr;
   PromptQuarantine* quarantine = nullptr;
+  // Null if callers that rate limits refuse all wait for the same time.
+  LimitedReturnSchedule* limited_returns = nullptr;
   EventLog* log = nullptr;
   Counters* counters = nullptr;
 };
@@ -207,8 +210,15 @@
   void RecordNotice(const ResponseInfo& info, absl::Time now);
   // Records the rate limit that the response states.
   void RecordRateLimit(const ResponseInfo& info, absl::Time now);
-  // Ends the request because no target accepts it now.
-  void FailWithoutTarget(absl::Time now);
+  // Returns the request as its LimitedReturnSchedule sees it, or nullopt if one
+  // of the targets that can serve it has no rate limit.
+  std::optional<LimitedRequest> GetLimitedRequest(absl::Time now) const;
+  // Returns true if the request must leave a share to a more urgent one.
+  bool LeavesShare(const LimitedRequest& limited, absl::Time now) const;
+  // Ends the request because of the rate limits of its targets.
+  void FailLimited(const LimitedRequest& limited, absl::Time now);
+  // Returns the urgency of the request; 0 is the most urgent, 9 the least.
+  int Urgency() const;
   void EndAttempt(AttemptOutcome outcome, absl::Time now);
   void RelayEvents(std::string_view bytes, absl::Time now);
   // Refuses the request, or ends its response, if its prompt is quarantined.
--- a/src/forward/exchange_response.cc
+++ b/src/forward/exchange_response.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "absl/strings/str_cat.h"
 #include "src/forward/exchange.h"
 
 namespace wisteriareel {
@@ -40,22 +39,6 @@
                                     attempt_began_at_);
 }
 
-void Exchange::RecordRateLimit(const ResponseInfo& info, absl::Time now) {
-  // Another target's response says nothing about the expected one.
-  if (info.wrong_target || info.has_malformed_rate_limit) return;
-  if (!services_.pool->RecordRateLimit(placement_->target, info.rate_limit,
-                                       sent_at_, now)) {
-    return;
-  }
-  services_.log->Write(
-      EventId::kTargetRateLimit, Severity::kInfo,
-      "the rate limit of a target changed",
-      {{"target", placement_->target.id.value()},
-       {"per_second",
-        info.rate_limit.has_value() ? absl::StrCat(*info.rate_limit) : "none"},
-       {"request", request_.info.id.value()}});
-}
-
 void Exchange::OnHead(const ResponseInfo& info, absl::Time now) {
   if (phase_ != Phase::kSent) return;
   last_received_at_ = now;
--- a/src/forward/target_pool.cc
+++ b/src/forward/target_pool.cc
@@ -171,19 +171,19 @@
          rate_limits_->RecordResponse(target, per_second, sent, now);
 }
 
-std::optional<double> TargetPool::FindExhaustedRateLimit(
+std::optional<double> TargetPool::FindTotalRateLimit(
     const ServiceId& service, const std::vector<TargetId>& tried,
     absl::Time now) const {
-  if (rate_limits_ == nullptr) return std::nullopt;
-  std::optional<double> per_second;
+  std::optional<double> total;
+  if (rate_limits_ == nullptr || !rate_limits_->HasLimits()) return total;
   for (const auto& [id, state] : targets_) {
     if (!IsOpen(state, service, now)) continue;
     if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
-    if (HasRateShare(state, now)) return std::nullopt;
-    per_second =
-        per_second.value_or(0) + rate_limits_->Limit(state.entry).value_or(0);
+    const std::optional<double> limit = rate_limits_->Limit(state.entry);
+    if (!limit.has_value()) return std::nullopt;
+    total = total.value_or(0) + *limit;
   }
-  return per_second;
+  return total;
 }
 
 void TargetPool::RemoveOldNotices(absl::Time now) {
--- a/src/forward/target_pool.h
+++ b/src/forward/target_pool.h
@@ -157,12 +157,12 @@
                        absl::Time now);
 
   // Returns the requests per second that the targets of `service` accept from
-  // all instances together, if none of them accepts one from this instance now
-  // and at least one will as soon as its rate limit allows it. Returns nullopt
-  // otherwise. Ignores the targets in `tried`.
-  std::optional<double> FindExhaustedRateLimit(
-      const ServiceId& service, const std::vector<TargetId>& tried,
-      absl::Time now) const;
+  // all instances together, or nullopt if one of them has no rate limit, or
+  // none accepts requests. Ignores the targets in `tried`, and those that
+  // accept no requests at any rate.
+  std::optional<double> FindTotalRateLimit(const ServiceId& service,
+                                           const std::vector<TargetId>& tried,
+                                           absl::Time now) const;
 
   // Returns the time until the first target of `service` accepts requests again
   // by its notice, or nullopt if none will.
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -35,6 +35,7 @@
       scheduler_(io, SystemClock()),
       rate_limits_({.self = settings_.instance.id}),
       target_pool_({.zone = settings_.instance.zone}, &rate_limits_),
+      limited_returns_({}),
       retry_limiter_({.ratio = settings_.retry.ratio,
                       .slack = settings_.retry.slack,
                       .window = settings_.retry.window}),
@@ -80,6 +81,7 @@
                                          .overload = &overload_,
                                          .ledger = tokens_.ledger(),
                                          .quarantine = &quarantine_,
+                                         .limited_returns = &limited_returns_,
                                          .log = log,
                                          .counters = &counters_},
                             .owner = this}),
@@ -208,6 +210,7 @@
 
 void RouterDaemon::OnInstancesCounted(int count) {
   retry_limiter_.SetInstances(count);
+  limited_returns_.SetInstances(count);
 }
 
 void RouterDaemon::OnTokensChanged(const CustomerId& customer) {
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -11,6 +11,7 @@
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/signal_set.hpp"
+#include "src/forward/limited_return_schedule.h"
 #include "src/forward/prompt_quarantine.h"
 #include "src/forward/request_router.h"
 #include "src/forward/retry_limiter.h"
@@ -102,6 +103,7 @@
   AsioScheduler scheduler_;
   TargetRateLimits rate_limits_;
   TargetPool target_pool_;
+  LimitedReturnSchedule limited_returns_;
   RetryLimiter retry_limiter_;
   RateLimitSync rate_limit_sync_;
   HttpPeerClient peer_client_;
