Keep all shares of an instance that is unconfirmed for a moment

What callers saw: nothing yet; one heartbeat that the platform rejects would have left an instance a quarter of its shares for 7 s or more. Change: an instance that is unconfirmed for less than 2 s keeps all its shares; others list it for longer than that.

--- a/src/forward/target_rate_limits.cc
+++ b/src/forward/target_rate_limits.cc
@@ -55,13 +55,20 @@
     if (name == options_.self.value()) continue;
     other_hashes_.push_back(StableHash(name));
   }
+  SetConfirmed(confirmed, now);
+  RemoveOldStates(now);
+}
+
+void TargetRateLimits::SetConfirmed(bool confirmed, absl::Time now) {
+  const bool was_confirmed = part_until_ != absl::InfiniteFuture();
+  if (confirmed == was_confirmed) return;
   if (!confirmed) {
-    all_from_ = absl::InfiniteFuture();
-  } else if (all_from_ == absl::InfiniteFuture()) {
-    all_from_ = now + options_.listing_delay;
-    part_from_ = std::min(part_from_, all_from_);
+    if (now >= part_until_) part_from_ = now + options_.confirmation_grace;
+    part_until_ = absl::InfiniteFuture();
+    return;
   }
-  RemoveOldStates(now);
+  part_until_ = now < part_from_ ? now : now + options_.listing_delay;
+  used_from_ = std::min(used_from_, part_until_);
 }
 
 void TargetRateLimits::SetPlatformEpoch(absl::Time epoch) {
@@ -158,7 +165,7 @@
     if (!Limit(target).has_value()) return std::nullopt;
     return absl::ZeroDuration();
   }
-  if (!epoch_.has_value() || part_from_ == absl::InfiniteFuture())
+  if (!epoch_.has_value() || used_from_ == absl::InfiniteFuture())
     return options_.listing_delay;
   const State& state = *Find(target);
   const Slots slots = SlotsOf(*state.limit);
@@ -228,7 +235,7 @@
 std::int64_t TargetRateLimits::FirstUsableSlot(const State& state,
                                                const Slots& slots) const {
   const std::int64_t from_us =
-      ToPlatformUs(std::max(state.known_since, part_from_));
+      ToPlatformUs(std::max(state.known_since, used_from_));
   return std::max(state.next_slot, CeilDivide(from_us, slots.length_us));
 }
 
@@ -236,8 +243,9 @@
                                absl::Time start) const {
   const std::uint64_t slot_hash =
       Mix(target_hash + static_cast<std::uint64_t>(slot));
-  if (start < all_from_ && static_cast<double>(Mix(slot_hash)) >=
-                               std::ldexp(options_.unconfirmed_part, 64)) {
+  if (start >= part_from_ && start < part_until_ &&
+      static_cast<double>(Mix(slot_hash)) >=
+          std::ldexp(options_.unconfirmed_part, 64)) {
     return false;
   }
   const std::uint64_t rank = Mix(slot_hash ^ self_hash_);
@@ -256,7 +264,7 @@
     state->shares.pop_front();
   while (!state->unpaid.empty() && state->unpaid.front() <= oldest_us)
     state->unpaid.pop_front();
-  if (part_from_ == absl::InfiniteFuture()) return;
+  if (used_from_ == absl::InfiniteFuture()) return;
   const std::uint64_t target_hash = HashTarget(id, state->started_ms);
   const std::int64_t end = now_us / slots.length_us + 1;
   std::int64_t slot =
--- a/src/forward/target_rate_limits.h
+++ b/src/forward/target_rate_limits.h
@@ -25,6 +25,9 @@
   double validity_requests = 4;
   // Bound of the time for which a share is valid.
   absl::Duration max_validity = absl::Seconds(10);
+  // An instance uses all its shares while it is unconfirmed for less than this
+  // time. Others still list it then.
+  absl::Duration confirmation_grace = absl::Seconds(2);
   // An instance uses no shares for this time after its first confirmed list,
   // and only a part of them for this time after its list is confirmed again.
   // Longer than the others need to list it.
@@ -152,6 +155,7 @@
     int requests_per_slot = 1;
   };
 
+  void SetConfirmed(bool confirmed, absl::Time now);
   Slots SlotsOf(double limit) const;
   std::int64_t ToPlatformUs(absl::Time time) const;
   // Returns the first slot that this instance may use.
@@ -175,9 +179,11 @@
   std::optional<absl::Time> epoch_;
   // Hashes of the names of the other live instances.
   std::vector<std::uint64_t> other_hashes_;
-  // Times from which this instance uses a part of its shares, and all.
-  absl::Time part_from_ = absl::InfiniteFuture();
-  absl::Time all_from_ = absl::InfiniteFuture();
+  // Time from which this instance uses shares.
+  absl::Time used_from_ = absl::InfiniteFuture();
+  // Time in which it uses a part of them.
+  absl::Time part_from_ = absl::InfinitePast();
+  absl::Time part_until_ = absl::InfiniteFuture();
   std::map<TargetId, State> states_;
 };
 
