--- a/test/forward_tests.cmake
+++ b/test/forward_tests.cmake
@@ -15,4 +15,6 @@
 add_library(rate_limit_fleet STATIC rate_limit_fleet.cc)
 target_link_libraries(rate_limit_fleet PUBLIC wisteriareel_forward
   PRIVATE wisteriareel_warnings)
-wisteriareel_test(forward_target_rate_limits_test LIBRARIES rate_limit_fleet)
+wisteriareel_test(forward_target_rate_limits_test LIBRARIES wisteriareel_forward)
+wisteriareel_test(forward_target_rate_limits_fleet_test
+  LIBRARIES rate_limit_fleet)
