Refuse a header that is longer than a field of the parser can be

What callers saw: all connections of an instance closed without an answer and without a line in the log, when one caller sent a header of 64 KiB and the operator's limit max_header_bytes allowed that.

Cause: a field of the HTTP parser holds less than 64 KiB; it throws an exception for a longer one, which ended the process.

Evidence: router_hostile_caller_test failed before, 5 of 5 runs: "field value too large", the process aborts.

Ruled out: that this explains the users' record, whose instances went on.

Change: a RouteTable limits max_header_bytes to 65535.

Measured: router_hostile_caller_test 10 of 10 runs pass.

--- a/src/forward/route_config.cc
+++ b/src/forward/route_config.cc
@@ -16,9 +16,16 @@
   return key;
 }
 
+RouteConfig ClampLimits(RouteConfig config) {
+  std::uint32_t& bytes = config.limits.max_header_bytes;
+  bytes = std::min(bytes, CallerLimits::kMaxHeaderBytes);
+  return config;
+}
+
 }  // namespace
 
-RouteTable::RouteTable(RouteConfig config) : config_(std::move(config)) {
+RouteTable::RouteTable(RouteConfig config)
+    : config_(ClampLimits(std::move(config))) {
   for (const Route& route : config_.routes) {
     by_host_[HostKey(route.host)].push_back(&route);
   }
--- a/src/forward/route_config.h
+++ b/src/forward/route_config.h
@@ -102,6 +102,10 @@
 
 // Limits on the size and duration of callers' requests.
 struct CallerLimits {
+  // The HTTP parser holds no field of 64 KiB or more.
+  static constexpr std::uint32_t kMaxHeaderBytes = 65535;
+
+  // At most kMaxHeaderBytes in a RouteTable.
   std::uint32_t max_header_bytes = 16384;
   std::uint32_t max_body_bytes = 4 << 20;
   absl::Duration header_timeout = absl::Seconds(3);
