Write the lines of the log in the order of their numbers

What operators saw: nothing yet. The numbers at the end of the lines, by which lost lines are found, go back and forth in the log of a process that logs from several threads (wisteriareeld): 23, 25, 24 looks like a gap.

Cause: a line got its number before it waited for the lock of the logger.

Ruled out: lost lines; wisteriareel-router, which logs from one thread.

Change: numbering and logging are one step under a lock. The text of the event is formatted before.

--- a/src/observability/log4cxx_event_log.cc
+++ b/src/observability/log4cxx_event_log.cc
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <mutex>
 #include <utility>
 
 #include "absl/strings/escaping.h"
@@ -144,8 +145,9 @@
                             std::string_view text,
                             const std::vector<EventField>& fields) {
   if (severity < min_severity_) return;
-  impl_->Log(severity,
-             absl::StrCat(FormatEvent(id, text, fields), " line=", ++lines_));
+  const std::string line = FormatEvent(id, text, fields);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  impl_->Log(severity, absl::StrCat(line, " line=", ++lines_));
 }
 
 }  // namespace wisteriareel
--- a/src/observability/log4cxx_event_log.h
+++ b/src/observability/log4cxx_event_log.h
@@ -1,9 +1,9 @@
 #ifndef WISTERIAREEL_SRC_OBSERVABILITY_LOG4CXX_EVENT_LOG_H_
 #define WISTERIAREEL_SRC_OBSERVABILITY_LOG4CXX_EVENT_LOG_H_
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,7 +44,9 @@
  private:
   class Impl;
   const Severity min_severity_;
-  std::atomic<std::uint64_t> lines_ = 0;
+  // Guards `lines_`, and keeps lines in the order of their numbers.
+  std::mutex mutex_;
+  std::uint64_t lines_ = 0;
   const std::unique_ptr<Impl> impl_;
 };
 
--- a/test/observability_test.cc
+++ b/test/observability_test.cc
@@ -134,5 +134,34 @@
   EXPECT_THAT(text, testing::Not(HasSubstr("dropped")));
 }
 
+// Lines of other threads came in between, which looked like lost lines.
+TEST(EventLogTest, LinesOfThreadsAreInTheOrderOfTheirNumbers) {
+  constexpr int kLinesPerThread = 200;
+  testing::internal::CaptureStderr();
+  {
+    Log4cxxEventLog log({.logger = "test"});
+    std::vector<std::thread> threads;
+    threads.reserve(kThreads);
+    for (int t = 0; t < kThreads; ++t) {
+      threads.emplace_back([&log] {
+        for (int n = 0; n < kLinesPerThread; ++n) {
+          log.Write(EventId::kDaemonReady, Severity::kInfo, "ready", {});
+        }
+      });
+    }
+    for (std::thread& thread : threads) thread.join();
+  }
+  const std::string text = testing::internal::GetCapturedStderr();
+  int last = 0;
+  for (const absl::string_view line :
+       absl::StrSplit(text, '\n', absl::SkipEmpty())) {
+    int number = 0;
+    ASSERT_TRUE(absl::SimpleAtoi(line.substr(line.rfind('=') + 1), &number));
+    ASSERT_EQ(number, last + 1);
+    last = number;
+  }
+  EXPECT_EQ(last, kThreads * kLinesPerThread);
+}
+
 }  // namespace
 }  // namespace wisteriareel
