Wait before a server accepts again without free file descriptors

What callers saw: slow responses while an instance had no free file descriptor.

Cause: AsyncHttpServer, which serves readiness and other instances, accepted again at once after a failure, in an endless loop on the thread that serves all requests.

Ruled out: a thread that stands still; other handlers run in between.

Change: it accepts again after 20 ms, like the listener for callers.

--- a/src/runtime/async_http_server.cc
+++ b/src/runtime/async_http_server.cc
@@ -4,7 +4,6 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/time.h"
-#include "boost/asio/steady_timer.hpp"
 #include "boost/asio/write.hpp"
 #include "boost/beast/core/flat_buffer.hpp"
 #include "boost/beast/http/parser.hpp"
@@ -24,6 +23,7 @@
 // A connection without a request for this long is closed.
 constexpr absl::Duration kIdleTimeout = absl::Seconds(20);
 constexpr absl::Duration kPeerTimeout = absl::Seconds(3);
+constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(20);
 constexpr std::uint64_t kMaxBodyBytes = 1 << 20;
 
 }  // namespace
@@ -100,7 +100,8 @@
 AsyncHttpServer::AsyncHttpServer(asio::io_context* io, Handler handler)
     : io_(io),
       handler_(std::make_shared<const Handler>(std::move(handler))),
-      acceptor_(*io) {}
+      acceptor_(*io),
+      accept_timer_(*io) {}
 
 AsyncHttpServer::~AsyncHttpServer() = default;
 
@@ -113,7 +114,16 @@
 void AsyncHttpServer::Accept() {
   acceptor_.async_accept([this](error_code ec, Socket socket) {
     if (ec == asio::error::operation_aborted) return;
-    if (!ec) std::make_shared<Session>(std::move(socket), handler_)->Read();
+    if (ec) {
+      // Typically out of file descriptors: retry after open ones were closed.
+      accept_timer_.expires_after(
+          absl::ToChronoMilliseconds(kAcceptRetryDelay));
+      accept_timer_.async_wait([this](error_code wait_ec) {
+        if (!wait_ec) Accept();
+      });
+      return;
+    }
+    std::make_shared<Session>(std::move(socket), handler_)->Read();
     Accept();
   });
 }
--- a/src/runtime/async_http_server.h
+++ b/src/runtime/async_http_server.h
@@ -7,6 +7,7 @@
 
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/steady_timer.hpp"
 #include "src/runtime/async_http_client.h"
 #include "wisteriareel/reason.h"
 #include "wisteriareel/types.h"
@@ -36,6 +37,7 @@
   boost::asio::io_context* const io_;
   const std::shared_ptr<const Handler> handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
 };
 
 // Binds `acceptor` to `endpoint` and listens. Returns false with a reason if
