Give the pending read of a caller's connection its own buffer

Callers that send a request before the answer to the one before it saw the second request run twice; the request after it never ran and got the other's answer. With other lengths they got 400, or a body made of several requests.

Cause: a read stays pending while a request runs, to notice a disconnect. It wrote into the buffer that Parse consumes. When Parse consumed all of it, the buffer moved its writable area to its start, and commit(n) added old bytes in place of those that the read stored.

Evidence: caller_pipelining_test on the code before, 5 of 8 fail, e.g.

Ruled out: the order of the posted Parse and of OnRead (both run on one thread, and Parse checks that no request is in progress); the target's connection pool (the target saw the second request twice from the router).

Change: the read fills `incoming_`, which belongs to it; OnRead copies the bytes to the buffer that is parsed. No read writes to that buffer. 64 KiB of pipelined requests still stop the reading.

--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -18,7 +18,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::size_t kReadBytes = 16 << 10;
 // Reading from the caller stops while this many bytes of pipelined requests are
 // buffered.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
@@ -92,7 +91,7 @@
   if (reading_ || closed_ || buffer_.size() > kMaxPipelinedBytes) return;
   reading_ = true;
   socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
+      asio::buffer(incoming_),
       [self = shared_from_this()](error_code ec, std::size_t n) {
         self->reading_ = false;
         if (!self->closed_) self->OnRead(ec, n);
@@ -104,7 +103,8 @@
     Close();
     return;
   }
-  buffer_.commit(n);
+  buffer_.commit(
+      asio::buffer_copy(buffer_.prepare(n), asio::buffer(incoming_, n)));
   dependencies_.overload->RecordTraffic(n, 0, dependencies_.clock->Now());
   if (exchange_ == nullptr && !last_request_) Parse();
   Read();
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAREEL_SRC_RUNTIME_CALLER_CONNECTION_H_
 #define WISTERIAREEL_SRC_RUNTIME_CALLER_CONNECTION_H_
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -104,6 +105,8 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  static constexpr std::size_t kReadBytes = 16 << 10;
+
   void ResetParser();
   void Read();
   void OnRead(const boost::system::error_code& ec, std::size_t n);
@@ -147,6 +150,9 @@
   const CallerConnectionDependencies dependencies_;
   boost::asio::ip::tcp::socket socket_;
   OneShotTimer timer_;
+  // Belongs to the pending read.
+  std::array<char, kReadBytes> incoming_{};
+  // Bytes that were read and not parsed yet. No read writes to it.
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   bool reading_ = false;
