--- a/test/soak/soak_checker.cc
+++ b/test/soak/soak_checker.cc
@@ -60,6 +60,11 @@
         ": sent ", absl::FormatDuration(request.sent - signal.at), ", ended ",
         absl::FormatDuration(request.ended - signal.at), " after it");
   }
+  for (const TargetRun& run : history.runs) {
+    if (run.request != request.id) continue;
+    absl::StrAppend(&text, "; ran at ", run.target, " for ",
+                    absl::FormatDuration(run.ended - run.began));
+  }
   return text;
 }
 
--- a/test/soak/soak_run.cc
+++ b/test/soak/soak_run.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <utility>
 
@@ -79,6 +80,20 @@
   return config.dump();
 }
 
+// Returns the lines of all logs in `folder` that contain `text`.
+std::vector<std::string> FindLogLines(const std::string& folder,
+                                      const std::string& text) {
+  std::vector<std::string> lines;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.path().extension() != ".log") continue;
+    std::ifstream log(entry.path());
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(text) != std::string::npos) lines.push_back(line);
+    }
+  }
+  return lines;
+}
+
 }  // namespace
 
 SoakRun::SoakRun(SoakOptions options) : options_(std::move(options)) {}
@@ -302,6 +317,10 @@
   for (const Violation& violation : result.violations) {
     report << PromiseName(violation.promise) << ": " << violation.subject
            << ": " << violation.detail << "\n";
+    const std::vector<std::string> lines =
+        FindLogLines(options_.folder, violation.subject);
+    for (const std::string& line : lines) report << "  " << line << "\n";
+    if (lines.empty()) report << "  no line in any log\n";
   }
   return result;
 }
