--- a/test/forward_limited_return_schedule_test.cc
+++ b/test/forward_limited_return_schedule_test.cc
@@ -75,6 +75,7 @@
   LimitedReturnSchedule schedule({});
   for (int n = 0; n < 20; ++n) schedule.Schedule(MakeRequest("c"), kStart);
   std::vector<absl::Duration> waits;
+  waits.reserve(3);
   for (int n = 0; n < 3; ++n) {
     waits.push_back(schedule.Schedule(MakeRequest("d"), kStart));
   }
@@ -123,10 +124,12 @@
   EXPECT_EQ(schedule.Schedule(request, kStart), absl::ZeroDuration());
 }
 
+// The burst, and the requests per second that the target accepts.
+constexpr int kCallers = 40;
+constexpr double kLimit = 5;
+
 // Refused callers returned all at once, and got no more than the limit.
 TEST(LimitedReturnScheduleTest, ABurstOfRefusedCallersIsServedMoreUrgentFirst) {
-  constexpr int kCallers = 40;
-  constexpr double kLimit = 5;
   TargetRateLimits limits({.self = InstanceId("i")});
   limits.SetPlatformEpoch(absl::UnixEpoch());
   limits.SetInstances({"i"}, /*confirmed=*/true, kStart - absl::Minutes(1));
@@ -173,10 +176,6 @@
   // The limit allows this many in 8 s, and some returns find no share.
   EXPECT_LT(now, kStart + absl::Seconds(2 * kCallers / kLimit));
   EXPECT_LT(sent, 4 * kCallers);
-  RecordProperty("attempts", sent);
-  RecordProperty("last_ms", absl::ToInt64Milliseconds(now - kStart));
-  RecordProperty("urgent_ms", absl::ToInt64Milliseconds(urgent_time) / 10);
-  RecordProperty("other_ms", absl::ToInt64Milliseconds(other_time) / 30);
 }
 
 }  // namespace
--- a/test/rate_limit_sync_test.cc
+++ b/test/rate_limit_sync_test.cc
@@ -66,6 +66,7 @@
 
 TEST(RateLimitNoticeCodecTest, AReportFitsIntoARow) {
   std::vector<RateLimitNotice> notices;
+  notices.reserve(2000);
   for (int n = 0; n < 2000; ++n) {
     notices.push_back(MakeNotice(absl::StrCat("t", n), 1.5, n));
   }
--- a/test/router_target_limit_test.cc
+++ b/test/router_target_limit_test.cc
@@ -20,6 +20,9 @@
 namespace {
 
 constexpr int kInstances = 4;
+// Requests per second that a target among others accepts, and the only one.
+constexpr double kLowLimit = 2;
+constexpr double kOnlyLimit = 5;
 // Time between two requests to one instance.
 constexpr absl::Duration kRequestInterval = absl::Milliseconds(100);
 constexpr absl::Duration kDemandTime = absl::Milliseconds(8500);
@@ -191,32 +194,30 @@
 
 // Each instance sent to the target as if it had no limit.
 TEST_F(TargetLimitTest, InstancesTogetherStayWithinTheLimitOfATarget) {
-  constexpr double kLimit = 2;
-  CountingTarget limited("limited", kLimit);
+  CountingTarget limited("limited", kLowLimit);
   CountingTarget unlimited("unlimited", 0);
   StartInstances(kInstances, MakeConfig(RouteKind::kIdempotent),
                  {MakeTarget("limited", limited.port()),
                   MakeTarget("unlimited", unlimited.port())});
   SendDemand(kDemandTime);
-  EXPECT_LE(MaxCounted("limited", limited.arrivals()), MaxArrivals(kLimit));
+  EXPECT_LE(MaxCounted("limited", limited.arrivals()), MaxArrivals(kLowLimit));
   // The other target takes what the limited one may not get.
   EXPECT_EQ(relayed_.size(), static_cast<std::size_t>(sent_));
 }
 
 TEST_F(TargetLimitTest, InstancesTogetherUseTheLimitOfTheOnlyTarget) {
-  constexpr double kLimit = 5;
-  CountingTarget limited("limited", kLimit);
+  CountingTarget limited("limited", kOnlyLimit);
   StartInstances(kInstances, MakeConfig(RouteKind::kIdempotent),
                  {MakeTarget("limited", limited.port())});
   const absl::Time start = SystemClock()->Now();
   SendDemand(kLongDemandTime);
   const std::vector<Arrival> arrivals = limited.arrivals();
-  EXPECT_LE(MaxCounted("limited", arrivals), MaxArrivals(kLimit));
+  EXPECT_LE(MaxCounted("limited", arrivals), MaxArrivals(kOnlyLimit));
   const auto used = std::count_if(arrivals.begin(), arrivals.end(),
                                   [start](const Arrival& arrival) {
                                     return arrival.at >= start + kStartTime;
                                   });
-  EXPECT_GE(used, kMinUsedPart * kLimit *
+  EXPECT_GE(used, kMinUsedPart * kOnlyLimit *
                       absl::ToDoubleSeconds(kLongDemandTime - kStartTime));
   // The others were told to return later.
   EXPECT_EQ(relayed_.size() + static_cast<std::size_t>(refused_),
