--- a/test/async_http_client_test.cc
+++ b/test/async_http_client_test.cc
@@ -88,7 +88,7 @@
 // A response that had arrived while the thread stood still for longer than the
 // timeout was dropped after the first part of it was read.
 TEST(AsyncHttpClientTest, AResponseThatArrivesDuringAStandstillIsRead) {
-  constexpr absl::Duration kTimeout = absl::Milliseconds(500);
+  const absl::Duration timeout = absl::Milliseconds(500);
   const std::string body(4000, 'x');
   std::promise<void> request_received;
   std::promise<void> thread_stands_still;
@@ -118,7 +118,7 @@
     AsyncHttpClient client(
         &client_io,
         {.host = "127.0.0.1", .port = acceptor.local_endpoint().port()});
-    client.Start({.method = "GET", .target = "/", .timeout = kTimeout},
+    client.Start({.method = "GET", .target = "/", .timeout = timeout},
                  [&result](std::optional<HttpResponse> reply) {
                    result = std::move(reply);
                  });
@@ -130,7 +130,7 @@
     client_io.poll();
     thread_stands_still.set_value();
     response_sent.get_future().wait();
-    absl::SleepFor(2 * kTimeout);
+    absl::SleepFor(2 * timeout);
     client_io.run();
   }
   server.join();
--- a/test/observability_test.cc
+++ b/test/observability_test.cc
@@ -136,7 +136,7 @@
 
 // Lines of other threads came in between, which looked like lost lines.
 TEST(EventLogTest, LinesOfThreadsAreInTheOrderOfTheirNumbers) {
-  constexpr int kLinesPerThread = 200;
+  const int lines_per_thread = 200;
   testing::internal::CaptureStderr();
   {
     Log4cxxEventLog log({.logger = "test"});
@@ -144,7 +144,7 @@
     threads.reserve(kThreads);
     for (int t = 0; t < kThreads; ++t) {
       threads.emplace_back([&log] {
-        for (int n = 0; n < kLinesPerThread; ++n) {
+        for (int n = 0; n < lines_per_thread; ++n) {
           log.Write(EventId::kDaemonReady, Severity::kInfo, "ready", {});
         }
       });
@@ -160,7 +160,7 @@
     ASSERT_EQ(number, last + 1);
     last = number;
   }
-  EXPECT_EQ(last, kThreads * kLinesPerThread);
+  EXPECT_EQ(last, kThreads * lines_per_thread);
 }
 
 }  // namespace
