Confirm an instance by its next acknowledged heartbeat

What callers saw: after one heartbeat that wasn't acknowledged, an instance used a quarter of its shares of a target's limit for longer than needed.

Cause: the end of the unconfirmed state was reported with the next read of all heartbeats, up to 3 s later, and its grace of 2 s was then over.

Change: the registry reports the instances when heartbeats are acknowledged again.

--- a/src/router/instance_registry.cc
+++ b/src/router/instance_registry.cc
@@ -150,6 +150,7 @@
       if (was_acknowledged) ReportInstances();
     } else if (acknowledged_since_ == absl::InfiniteFuture()) {
       acknowledged_since_ = scheduler_->Now();
+      ReportInstances();
     }
   });
   if (scheduler_->Now() - listed_at_ >= options_.listing_interval)
--- a/src/router/instance_registry.h
+++ b/src/router/instance_registry.h
@@ -87,8 +87,8 @@
   // Returns the incarnations that the heartbeat lists, newest first.
   virtual std::vector<EndedIncarnation> EndedIncarnations() = 0;
   // Called with the names of the live instances, including this one, after each
-  // read, and when the heartbeats stop being acknowledged. `confirmed` is false
-  // while they aren't: the others may count this instance as gone.
+  // read, and when the heartbeats start or stop being acknowledged. `confirmed`
+  // is false while they aren't: the others may count this instance as gone.
   virtual void OnInstancesListed(const std::vector<std::string>& names,
                                  bool confirmed) = 0;
   // Called with the report of an instance on the rate limits of targets, as
--- a/test/rate_limit_sync_test.cc
+++ b/test/rate_limit_sync_test.cc
@@ -254,6 +254,18 @@
   EXPECT_TRUE(a->confirmed);
 }
 
+// The instance used a part of its shares until the next read of the heartbeats.
+TEST_F(RateLimitSyncTest, AnInstanceIsConfirmedByItsNextHeartbeat) {
+  const auto a = Start("a");
+  scheduler_.Advance(absl::Seconds(5));
+  table_.rejects_writes = true;
+  scheduler_.Advance(absl::Milliseconds(600));
+  EXPECT_FALSE(a->confirmed);
+  table_.rejects_writes = false;
+  scheduler_.Advance(absl::Milliseconds(600));
+  EXPECT_TRUE(a->confirmed);
+}
+
 TEST_F(RateLimitSyncTest, AnInstanceThatEndedIsNotLive) {
   const auto a = Start("a");
   auto b = Start("b");
