Answer or close unread each connection to a stopping instance

Callers that connected from 3.5 s after SIGTERM until the process was gone got a reset within 50 ms; they couldn't tell whether their request ran.

Cause: CloseIfIdle closed every connection without a request, also one just accepted or with the next request in its socket. Closing a socket with unread bytes sends a reset, which also discards a response on its way. At the end the loop was stopped, and the kernel reset what was queued for the listener.

Ruled out: shutdown() of the listener and a smaller backlog; the first resets the queue, the second still takes one connection. A filter that drops SYN was tried on a socket of its own: queued connections stay, a new one is refused after 1.02 s.

Change: ShutdownPlan::ClosesIdle and NextExitStep decide. Unread bytes are read and answered with 503 not_run; a new connection stays open until the exit; the exit ignores new connections, accepts the queue, closes the listener, then closes what sends nothing within 50 ms, and gives responses the time that the plan leaves. Each close of a connection is a half-close that discards what still comes. Responses that the caller's kernel hasn't acknowledged count as output; they no longer hold up the return of tokens. With a grace shorter than the balancer's notice, no request is accepted once those in progress are ended.

--- a/src/forward/shutdown_plan.h
+++ b/src/forward/shutdown_plan.h
@@ -24,6 +24,12 @@
   // Time before `ending_time` at which unspent tokens are returned to the
   // platform even if requests are still in progress.
   absl::Duration token_return = absl::Milliseconds(1200);
+  // Part of `ending_time`, before `kill_margin`, for the exit.
+  absl::Duration exit_time = absl::Milliseconds(150);
+  // Part of `exit_time` for handshakes with callers to complete.
+  absl::Duration queue_time = absl::Milliseconds(10);
+  // Part of `exit_time` in which an accepted connection may send a request.
+  absl::Duration unread_time = absl::Milliseconds(50);
 };
 
 // A request that arrives while a process shuts down.
@@ -37,11 +43,22 @@
                          const ArrivingRequest&) = default;
 };
 
+// A connection on which no request is read or in progress.
+struct IdleConnection {
+  // At least one request was answered.
+  bool has_served = false;
+  // Bytes have arrived that were not read yet.
+  bool has_unread = false;
+
+  friend bool operator==(const IdleConnection&,
+                         const IdleConnection&) = default;
+};
+
 // What still goes on in a process that shuts down.
 struct ShutdownProgress {
-  // A request is being read or served.
+  // A request is being read or served, or waits in a socket.
   bool has_requests = false;
-  // Responses are still being written.
+  // Responses are being written or were not received yet.
   bool has_output = false;
   // Tokens are held, unreported or in doubt.
   bool has_tokens = false;
@@ -60,12 +77,22 @@
   kReturnTokens,
   // Ends the requests in progress with a response that tells so.
   kEndRequests,
-  // Exits, with everything done.
+  // Begins the exit, with everything done.
   kExitClean,
-  // Exits, since the grace is over.
+  // Begins the exit, since the grace is over.
   kExit,
 };
 
+// What an exiting process does next.
+enum class ExitStep : std::uint8_t {
+  // Waits for handshakes to complete. New connections are ignored.
+  kWait,
+  // Accepts what is queued, stops listening, and refuses all requests.
+  kRefuse,
+  // The same, and ends.
+  kEnd,
+};
+
 // Decides what an instance does with requests while it shuts down.
 //
 // It answers this load pattern: callers and the balancer send requests for
@@ -76,6 +103,11 @@
 // can still serve them in time, except those at the start that may be repeated.
 // Requests that aren't finished at the end are told so.
 //
+// A connection that was accepted is answered or is closed before a byte of it
+// was read, since its caller couldn't tell otherwise whether its request ran.
+// So a connection without a request so far stays open until the exit, and the
+// exit empties the queue of the listener.
+//
 // Not thread-safe. Opens no connections.
 class ShutdownPlan {
  public:
@@ -95,12 +127,24 @@
   // Returns what to do now. Called repeatedly after Begin.
   ShutdownStep NextStep(const ShutdownProgress& progress, absl::Time now) const;
 
+  // Starts the exit, which NextStep has returned. Later calls don't extend it.
+  void BeginExit(absl::Time now);
+
+  // Returns what to do now. Called repeatedly after BeginExit.
+  ExitStep NextExitStep(const ShutdownProgress& progress, absl::Time now) const;
+
+  // Returns true if an idle connection is closed now.
+  bool ClosesIdle(const IdleConnection& connection, absl::Time now) const;
+
  private:
   // Time at which requests in progress are ended.
   absl::Time RequestsEnd() const;
+  // Time at which the process must have ended.
+  absl::Time ExitEnd() const;
 
   const ShutdownPlanOptions options_;
   absl::Time began_ = absl::InfiniteFuture();
+  absl::Time exit_began_ = absl::InfiniteFuture();
 };
 
 }  // namespace wisteriareel
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -18,6 +18,8 @@
 // that is logged.
 constexpr absl::Duration kLoopCheckInterval = absl::Milliseconds(500);
 constexpr absl::Duration kLoopStall = absl::Milliseconds(500);
+// Time between two checks of the progress of the exit.
+constexpr absl::Duration kExitTick = absl::Milliseconds(10);
 constexpr double kBytesPerMbit = 1e6 / 8;
 constexpr char kMetricsPath[] = "/metrics";
 
@@ -135,6 +137,7 @@
 void RouterDaemon::Run() { io_->run(); }
 
 void RouterDaemon::Accept() {
+  if (!acceptor_.is_open()) return;
   acceptor_.async_accept([this](boost::system::error_code ec,
                                 boost::asio::ip::tcp::socket socket) {
     if (ec == boost::asio::error::operation_aborted) return;
@@ -143,14 +146,18 @@
       scheduler_.After(absl::Milliseconds(20), [this] { Accept(); });
       return;
     }
-    const auto connection = std::make_shared<CallerConnection>(
-        caller_dependencies_, std::move(socket));
-    connections_.insert(connection);
-    connection->Start();
+    AddConnection(std::move(socket));
     Accept();
   });
 }
 
+void RouterDaemon::AddConnection(boost::asio::ip::tcp::socket socket) {
+  const auto connection = std::make_shared<CallerConnection>(
+      caller_dependencies_, std::move(socket));
+  connections_.insert(connection);
+  connection->Start();
+}
+
 void RouterDaemon::WaitForSignal() {
   signals_.async_wait([this](boost::system::error_code ec, int signal) {
     if (ec) return;
@@ -240,7 +247,7 @@
 ShutdownProgress RouterDaemon::GetShutdownProgress() const {
   ShutdownProgress progress{.has_tokens = !tokens_.IsSettled()};
   for (const auto& connection : connections_) {
-    progress.has_requests |= connection->busy();
+    progress.has_requests |= connection->busy() || connection->HasUnreadBytes();
     progress.has_output |= connection->HasOutput();
   }
   return progress;
@@ -273,15 +280,46 @@
       // Heartbeats continue until here: if the process is killed earlier, the
       // last one shows whether it can have used the reserve.
       tokens_.Leave();
-      scheduler_.After(kShutdownTick, [this] { Stop("clean"); });
+      BeginExit("clean");
       return;
     case ShutdownStep::kExit:
-      Stop("grace over");
+      BeginExit("grace over");
       return;
   }
   scheduler_.After(kShutdownTick, [this] { ContinueShutdown(); });
 }
 
+void RouterDaemon::BeginExit(std::string_view how) {
+  shutdown_.BeginExit(scheduler_.Now());
+  IgnoreNewConnections(&acceptor_);
+  scheduler_.After(kExitTick, [this, how] { ContinueExit(how); });
+}
+
+void RouterDaemon::ContinueExit(std::string_view how) {
+  ForEachConnection(
+      [](CallerConnection* connection) { connection->EndForShutdown(); });
+  const ExitStep step =
+      shutdown_.NextExitStep(GetShutdownProgress(), scheduler_.Now());
+  if (step != ExitStep::kWait) AcceptQueued();
+  if (step == ExitStep::kEnd) {
+    Stop(how);
+    return;
+  }
+  scheduler_.After(kExitTick, [this, how] { ContinueExit(how); });
+}
+
+void RouterDaemon::AcceptQueued() {
+  if (!acceptor_.is_open()) return;
+  boost::system::error_code ec;
+  acceptor_.non_blocking(true, ec);
+  for (;;) {
+    boost::asio::ip::tcp::socket socket = acceptor_.accept(ec);
+    if (ec) break;
+    AddConnection(std::move(socket));
+  }
+  acceptor_.close(ec);
+}
+
 void RouterDaemon::Stop(std::string_view how) {
   const auto unfinished = std::count_if(
       connections_.begin(), connections_.end(), [](const auto& connection) {
@@ -294,6 +332,7 @@
               {{"how", std::string(how)},
                {"connections", absl::StrCat(connections_.size())},
                {"unfinished", absl::StrCat(unfinished)}});
+  ForEachConnection([](CallerConnection* connection) { connection->Close(); });
   io_->stop();
 }
 
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -67,11 +67,17 @@
 
  private:
   void Accept();
+  void AddConnection(boost::asio::ip::tcp::socket socket);
   void WaitForSignal();
   // Logs if it runs much later than at `due`, and schedules the next check.
   void CheckLoop(absl::Time due);
   void BeginShutdown();
   void ContinueShutdown();
+  // Answers or closes all connections, then stops. `how` goes to the log.
+  void BeginExit(std::string_view how);
+  void ContinueExit(std::string_view how);
+  // Accepts the connections that the kernel has queued, and stops listening.
+  void AcceptQueued();
   void Stop(std::string_view how);
   bool IsReady() const;
   HttpResponse HandleReadyRequest() const;
@@ -89,6 +95,9 @@
   bool Accepts(const ArrivingRequest& request) const override {
     return shutdown_.Accepts(request, scheduler_.Now());
   }
+  bool ClosesIdle(const IdleConnection& connection) const override {
+    return shutdown_.ClosesIdle(connection, scheduler_.Now());
+  }
   void OnWaitingForTokens() override { tokens_.OnWaitingForTokens(); }
 
   void OnInstancesCounted(int count) override;
--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -28,6 +28,10 @@
 constexpr std::size_t kMaxDigestedBytes = 64 << 10;
 // A caller that acknowledges no data for this long counts as disconnected.
 constexpr absl::Duration kPeerTimeout = absl::Seconds(4);
+// Time between two checks if the caller has received the last response.
+constexpr absl::Duration kLingerCheck = absl::Seconds(1);
+// A last response that the caller reads more slowly may be cut off.
+constexpr absl::Duration kMaxLinger = absl::Seconds(30);
 // Short, since other instances have capacity.
 constexpr absl::Duration kShedRetryAfter = absl::Milliseconds(20);
 // Idle connections stay open this much longer than the configured timeout, so
@@ -103,8 +107,11 @@
     Close();
     return;
   }
-  buffer_.commit(
-      asio::buffer_copy(buffer_.prepare(n), asio::buffer(incoming_, n)));
+  // Unread bytes would make the close a reset.
+  if (!close_when_written_) {
+    buffer_.commit(
+        asio::buffer_copy(buffer_.prepare(n), asio::buffer(incoming_, n)));
+  }
   dependencies_.overload->RecordTraffic(n, 0, dependencies_.clock->Now());
   if (exchange_ == nullptr && !last_request_) Parse();
   Read();
@@ -259,10 +266,9 @@
   if (attempt_ != nullptr) CancelAttempt();
   request_body_.reset();
   if (closed_) return;
+  has_served_ = true;
   if (last_request_) {
-    close_when_written_ = true;
-    timer_.Cancel();
-    if (!writing_) Close();
+    CloseWhenWritten();
     return;
   }
   ResetParser();
@@ -275,6 +281,28 @@
   }
 }
 
+void CallerConnection::CloseWhenWritten() {
+  last_request_ = true;
+  close_when_written_ = true;
+  timer_.Cancel();
+  buffer_.clear();
+  Read();
+  if (!writing_) HalfClose();
+}
+
+void CallerConnection::HalfClose() {
+  // A truncated response ends with a reset only.
+  if (aborted_) return;
+  // Closing a socket with unread data sends a reset, which can discard the
+  // response before the caller reads it. A half-close avoids that.
+  half_closed_ = true;
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  const absl::Time now = dependencies_.clock->Now();
+  linger_end_ = now + kMaxLinger;
+  ArmTimer(now + kLingerCheck);
+}
+
 template <typename Event>
 void CallerConnection::DispatchToExchange(const Event& event) {
   if (exchange_ == nullptr) return;
@@ -302,7 +330,23 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (!busy() && buffer_.size() == 0 && !writing_) Close();
+  if (busy() || writing_ || close_when_written_ || closed_) return;
+  if (dependencies_.owner->ClosesIdle(
+          {.has_served = has_served_, .has_unread = HasUnreadBytes()})) {
+    CloseWhenWritten();
+  }
+}
+
+bool CallerConnection::HasOutput() const {
+  if (closed_) return false;
+  // The end of the stream counts as one byte.
+  return writing_ || CountUnacknowledgedBytes(socket_) > (half_closed_ ? 1 : 0);
+}
+
+bool CallerConnection::HasUnreadBytes() const {
+  if (closed_ || last_request_) return false;
+  error_code ec;
+  return buffer_.size() > 0 || socket_.available(ec) > 0;
 }
 
 void CallerConnection::EndForShutdown() {
@@ -412,6 +456,7 @@
 
 void CallerConnection::AbortResponse() {
   last_request_ = true;
+  aborted_ = true;
   ResetOnClose(&socket_);
   // Closes the connection after the call from the exchange has returned.
   asio::post(*dependencies_.io, [self = shared_from_this()] { self->Close(); });
@@ -439,14 +484,24 @@
     return;
   }
   if (close_when_written_) {
-    Close();
+    const absl::Time now = dependencies_.clock->Now();
+    if (HasOutput() && now < linger_end_) {
+      ArmTimer(now + kLingerCheck);
+    } else {
+      Close();
+    }
     return;
   }
   if (reading_request_) {
     Reject(408, Reason::kDeadlineExceeded);
     return;
   }
-  if (!writing_) Close();
+  if (writing_) return;
+  if (HasUnreadBytes()) {
+    ArmIdleTimer(CallerLimits().header_timeout);
+  } else {
+    CloseWhenWritten();
+  }
 }
 
 void CallerConnection::Enqueue(std::string bytes) {
@@ -491,11 +546,7 @@
   writing_ = false;
   if (attempt_ != nullptr) attempt_->Resume();
   if (close_when_written_ && exchange_ == nullptr) {
-    // Closing a socket with unread data sends a reset, which can discard the
-    // response before the caller reads it. A half-close avoids that.
-    error_code ignored;
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    ArmTimer(dependencies_.clock->Now() + absl::Seconds(1));
+    HalfClose();
   }
 }
 
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -45,6 +45,8 @@
   // Returns false if a new request is refused because the process may end
   // before it.
   virtual bool Accepts(const ArrivingRequest& request) const = 0;
+  // Returns true if an idle connection is closed while the instance shuts down.
+  virtual bool ClosesIdle(const IdleConnection& connection) const = 0;
   // Called when a request waits for tokens that the platform has to grant.
   virtual void OnWaitingForTokens() = 0;
 };
@@ -82,7 +84,7 @@
   // Notifies the exchange, if there is one, that a prompt was quarantined.
   void OnPromptQuarantined();
 
-  // Closes the connection if no request is in progress.
+  // Closes the connection if no request is in progress and the owner wants it.
   void CloseIfIdle();
 
   // Ends the request that is read or in progress, with a response that says so
@@ -95,8 +97,12 @@
   // Returns true while a request is read or in progress.
   bool busy() const { return exchange_ != nullptr || reading_request_; }
 
-  // Returns true while a part of a response waits to be written.
-  bool HasOutput() const { return writing_; }
+  // Returns true while a part of a response waits to be written or hasn't been
+  // acknowledged by the caller.
+  bool HasOutput() const;
+
+  // Returns true if bytes of the next request have arrived.
+  bool HasUnreadBytes() const;
 
   // Returns true if a request waits for tokens of `customer`.
   bool IsWaitingForTokensOf(const CustomerId& customer) const;
@@ -119,6 +125,10 @@
   bool ShedRequest(absl::Time now);
   void RefuseAndClose(Reason reason, std::string_view text);
   void EndRequest();
+  // Reads no request any more, and closes the connection once it is written.
+  void CloseWhenWritten();
+  // Tells the caller that nothing follows, and discards what it still sends.
+  void HalfClose();
   void Enqueue(std::string bytes);
   void WriteNext();
   void OnWritten(const boost::system::error_code& ec);
@@ -161,6 +171,14 @@
   // No request is read after this one; the connection closes.
   bool last_request_ = false;
   bool close_when_written_ = false;
+  bool half_closed_ = false;
+  // The response was broken off; the connection is about to be reset.
+  bool aborted_ = false;
+  // At least one request was answered.
+  bool has_served_ = false;
+  // Time at which a half-closed connection is closed even if the caller hasn't
+  // received its response.
+  absl::Time linger_end_ = absl::InfiniteFuture();
 
   RequestHead request_head_;
   std::shared_ptr<const std::string> request_body_;
--- a/test/forward_shutdown_plan_test.cc
+++ b/test/forward_shutdown_plan_test.cc
@@ -100,5 +100,73 @@
             ShutdownStep::kExit);
 }
 
+// With a short grace, requests were accepted after those in progress had been
+// ended.
+TEST(ShutdownPlanShortGraceTest, NoRequestIsAcceptedOnceRequestsAreEnded) {
+  ShutdownPlan plan({.grace = absl::Seconds(1)});
+  plan.Begin(kStart);
+  const absl::Time end =
+      kStart + absl::Seconds(1) - ShutdownPlanOptions().ending_time;
+  EXPECT_FALSE(plan.IsClosing(end - absl::Milliseconds(1)));
+  EXPECT_TRUE(plan.IsClosing(end));
+  EXPECT_FALSE(plan.Accepts(
+      {.deadline = end + absl::Hours(1), .is_retryable = true}, end));
+}
+
+TEST_F(ShutdownPlanTest, OutputThatIsNotReceivedDoesNotKeepTokens) {
+  EXPECT_EQ(NextStep({.has_output = true, .has_tokens = true},
+                     kOptions.balancer_notice),
+            ShutdownStep::kReturnTokens);
+  EXPECT_EQ(NextStep({.has_output = true}, kOptions.balancer_notice),
+            ShutdownStep::kReturnTokens);
+}
+
+TEST_F(ShutdownPlanTest, AnIdleConnectionIsNotClosedWithUnreadBytes) {
+  plan_.BeginExit(kStart + kOptions.balancer_notice);
+  for (const bool has_served : {false, true}) {
+    EXPECT_FALSE(
+        plan_.ClosesIdle({.has_served = has_served, .has_unread = true},
+                         kStart + kOptions.grace));
+  }
+}
+
+TEST_F(ShutdownPlanTest, AConnectionThatServedARequestIsClosed) {
+  const absl::Time notice = kStart + kOptions.balancer_notice;
+  EXPECT_FALSE(
+      plan_.ClosesIdle({.has_served = true}, notice - absl::Milliseconds(1)));
+  EXPECT_TRUE(plan_.ClosesIdle({.has_served = true}, notice));
+}
+
+TEST_F(ShutdownPlanTest, ANewConnectionStaysOpenUntilTheExit) {
+  EXPECT_FALSE(plan_.ClosesIdle({}, kStart + kOptions.grace));
+  const absl::Time exit = kStart + absl::Seconds(5);
+  plan_.BeginExit(exit);
+  const absl::Time end = exit + kOptions.unread_time;
+  EXPECT_FALSE(plan_.ClosesIdle({}, end - absl::Milliseconds(1)));
+  EXPECT_TRUE(plan_.ClosesIdle({}, end));
+}
+
+TEST_F(ShutdownPlanTest, TheExitAnswersWhatIsQueued) {
+  const absl::Time exit = kStart + absl::Seconds(5);
+  plan_.BeginExit(exit);
+  EXPECT_EQ(plan_.NextExitStep({}, exit), ExitStep::kWait);
+  EXPECT_EQ(plan_.NextExitStep({}, exit + kOptions.queue_time),
+            ExitStep::kRefuse);
+  const absl::Time end = exit + kOptions.unread_time;
+  EXPECT_EQ(plan_.NextExitStep({}, end), ExitStep::kEnd);
+  EXPECT_EQ(plan_.NextExitStep({.has_requests = true}, end), ExitStep::kRefuse);
+  EXPECT_EQ(plan_.NextExitStep({.has_output = true}, end), ExitStep::kRefuse);
+}
+
+TEST_F(ShutdownPlanTest, TheExitEndsBeforeTheProcessIsKilled) {
+  const absl::Duration end = kOptions.grace - kOptions.kill_margin;
+  EXPECT_EQ(NextStep(kBusy, end - kOptions.exit_time), ShutdownStep::kExit);
+  EXPECT_LE(kOptions.unread_time, kOptions.exit_time);
+  plan_.BeginExit(kStart + end - kOptions.exit_time);
+  EXPECT_EQ(plan_.NextExitStep(kBusy, kStart + end - absl::Milliseconds(1)),
+            ExitStep::kRefuse);
+  EXPECT_EQ(plan_.NextExitStep(kBusy, kStart + end), ExitStep::kEnd);
+}
+
 }  // namespace
 }  // namespace wisteriareel
