Leave the descriptor of a line writer open in its test

Cause: the test closed the descriptor while the thread of a writer could still be in a write, which LineWriterOptions::fd forbids. The next test could get the same number for another pipe.

Change: TearDown closes only the end of the reader, which ends a blocked write. The checks of the test are the same.

--- a/test/line_writer_test.cc
+++ b/test/line_writer_test.cc
@@ -31,10 +31,8 @@
     fcntl(pipe_[0], F_SETFL, O_NONBLOCK);
     fcntl(pipe_[1], F_SETPIPE_SZ, kPipeBytes);
   }
-  void TearDown() override {
-    close(pipe_[0]);
-    close(pipe_[1]);
-  }
+  // Leaves the other end open, as LineWriterOptions::fd requires.
+  void TearDown() override { close(pipe_[0]); }
 
   std::string ReadAvailable() const {
     std::string text;
