Close the listener of an ending instance at once, without a socket filter

What callers saw: at the exit, the listener ignored SYN segments for 10 ms so that no connection completes between the last accept and its close. A caller that connected in this time learned a second later, when its kernel had repeated the attempt, that the instance was gone; a refused connection tells it at once.

Change: the exit accepts what is queued and closes the listener in one step. What completes between the two is reset before a byte was read.

Not measured: how often a connection is reset so.

--- a/src/forward/shutdown_plan.cc
+++ b/src/forward/shutdown_plan.cc
@@ -51,7 +51,6 @@
 ExitStep ShutdownPlan::NextExitStep(const ShutdownProgress& progress,
                                     absl::Time now) const {
   if (now >= ExitEnd()) return ExitStep::kEnd;
-  if (now - exit_began_ < options_.queue_time) return ExitStep::kWait;
   const bool is_busy = progress.has_requests || progress.has_output;
   return is_busy || now - exit_began_ < options_.unread_time ? ExitStep::kRefuse
                                                              : ExitStep::kEnd;
--- a/src/forward/shutdown_plan.h
+++ b/src/forward/shutdown_plan.h
@@ -26,8 +26,6 @@
   absl::Duration token_return = absl::Milliseconds(1200);
   // Part of `ending_time`, before `kill_margin`, for the exit.
   absl::Duration exit_time = absl::Milliseconds(150);
-  // Part of `exit_time` for handshakes with callers to complete.
-  absl::Duration queue_time = absl::Milliseconds(10);
   // Part of `exit_time` in which an accepted connection may send a request.
   absl::Duration unread_time = absl::Milliseconds(50);
 };
@@ -85,11 +83,9 @@
 
 // What an exiting process does next.
 enum class ExitStep : std::uint8_t {
-  // Waits for handshakes to complete. New connections are ignored.
-  kWait,
-  // Accepts what is queued, stops listening, and refuses all requests.
+  // Refuses all requests. No connection is accepted any more.
   kRefuse,
-  // The same, and ends.
+  // Closes all connections and ends.
   kEnd,
 };
 
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -291,17 +291,15 @@
 
 void RouterDaemon::BeginExit(std::string_view how) {
   shutdown_.BeginExit(scheduler_.Now());
-  IgnoreNewConnections(&acceptor_);
-  scheduler_.After(kExitTick, [this, how] { ContinueExit(how); });
+  AcceptQueued();
+  ContinueExit(how);
 }
 
 void RouterDaemon::ContinueExit(std::string_view how) {
   ForEachConnection(
       [](CallerConnection* connection) { connection->EndForShutdown(); });
-  const ExitStep step =
-      shutdown_.NextExitStep(GetShutdownProgress(), scheduler_.Now());
-  if (step != ExitStep::kWait) AcceptQueued();
-  if (step == ExitStep::kEnd) {
+  if (shutdown_.NextExitStep(GetShutdownProgress(), scheduler_.Now()) ==
+      ExitStep::kEnd) {
     Stop(how);
     return;
   }
@@ -309,7 +307,6 @@
 }
 
 void RouterDaemon::AcceptQueued() {
-  if (!acceptor_.is_open()) return;
   boost::system::error_code ec;
   acceptor_.non_blocking(true, ec);
   for (;;) {
--- a/src/runtime/socket_options.cc
+++ b/src/runtime/socket_options.cc
@@ -1,25 +1,17 @@
 #include "src/runtime/socket_options.h"
 
-#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 
 namespace wisteriareel {
 namespace {
 
 // Unanswered keep-alive probes after which the connection is closed.
 constexpr int kProbes = 2;
-// Position of the flags in a TCP header.
-constexpr std::uint32_t kTcpFlagsOffset = 13;
-// Flag of a segment that opens a connection.
-constexpr std::uint32_t kTcpSyn = 2;
-// Length with which a filter accepts a segment.
-constexpr std::uint32_t kWholeSegment = 0xffffffff;
 
 void SetOption(int fd, int option, int value) {
   setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
@@ -55,17 +47,6 @@
   return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
 }
 
-void IgnoreNewConnections(boost::asio::ip::tcp::acceptor* acceptor) {
-  // The filter sees TCP headers. It drops segments that open a connection.
-  std::array<sock_filter, 4> code = {
-      {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kTcpFlagsOffset),
-       BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kTcpSyn, 0, 1),
-       BPF_STMT(BPF_RET | BPF_K, 0), BPF_STMT(BPF_RET | BPF_K, kWholeSegment)}};
-  const sock_fprog program = {.len = code.size(), .filter = code.data()};
-  setsockopt(acceptor->native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
-             sizeof(program));
-}
-
 boost::asio::ip::tcp::endpoint ToAsioEndpoint(const Endpoint& endpoint) {
   boost::system::error_code ec;
   return {boost::asio::ip::make_address(endpoint.host, ec), endpoint.port};
--- a/src/runtime/socket_options.h
+++ b/src/runtime/socket_options.h
@@ -22,12 +22,6 @@
 // acknowledged, or 0 on an error. The end of the stream counts as one.
 int CountUnacknowledgedBytes(const boost::asio::ip::tcp::socket& socket);
 
-// Makes the kernel ignore attempts to connect; handshakes in progress complete,
-// and queued connections can be accepted. Closing the acceptor at once would
-// reset them. A caller repeats its attempt about a second later. An error is
-// ignored; then the acceptor goes on listening.
-void IgnoreNewConnections(boost::asio::ip::tcp::acceptor* acceptor);
-
 // Converts an endpoint. `endpoint.host` must be an IP address.
 boost::asio::ip::tcp::endpoint ToAsioEndpoint(const Endpoint& endpoint);
 
