Don't refuse a request with 503 that may have run, if no target is left

What callers saw: a request that may be repeated, whose only target broke off, got 503, which promises that it hasn't run and never will, beside the verdict "may_have_run".

Cause: a retry that finds no target ended as if nothing had been sent.

Evidence: ExchangeTest.ARequestThatMayHaveRunGetsNo503IfNoTargetIsLeft failed before: 503 where 502 is expected.

Ruled out: requests that may not be repeated; they have no retry after a run.

Change: the status follows the verdict, as in all other ways out.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -190,6 +190,10 @@
       FailLimited(*limited, now);
       return;
     }
+    if (verdict_ != Verdict::kNotRun) {
+      FailAttempt(Reason::kNoTargetAvailable, now);
+      return;
+    }
     FailRequest(503, Reason::kNoTargetAvailable,
                 services_.pool->TimeUntilAccepted(request_.service, now)
                     .value_or(kBusyRetryAfter),
--- a/test/forward_exchange_test.cc
+++ b/test/forward_exchange_test.cc
@@ -267,6 +267,16 @@
   EXPECT_EQ(delegate_.sent_refusal->status, 502);
 }
 
+// A 503 promises that the request hasn't run and never will.
+TEST_F(ExchangeTest, ARequestThatMayHaveRunGetsNo503IfNoTargetIsLeft) {
+  ListTargets(1);
+  Start();
+  BreakConnection(kStart);
+  ASSERT_TRUE(delegate_.sent_refusal.has_value());
+  EXPECT_EQ(delegate_.sent_refusal->status, 502);
+  EXPECT_EQ(delegate_.sent_refusal->verdict, Verdict::kMayHaveRun);
+}
+
 TEST_F(ExchangeTest, UnreachableTargetsConsumeNoRetries) {
   ListTargets(4);
   route_.kind = RouteKind::kNonIdempotent;
