Let the target of a test say that it closes its connection

Cause: the test's target closes the connection after each response without saying so. The router keeps the connection for the next request; whether it sees the end of it before that depends on the order of two threads. Another target isn't there to retry at. An earlier failure of this test had been put down to the unread body of the request alone.

Ruled out: the pause of the reader, which the log shows not to delay the request (sent_ms=0, idle_ms=0).

Change: the response says "Connection: close". What the test expects is the same.

--- a/test/paused_log_reader_test.cc
+++ b/test/paused_log_reader_test.cc
@@ -73,7 +73,8 @@
     ScriptedTarget::ReadRequest(fd);
     ScriptedTarget::Write(fd,
                           "HTTP/1.1 200 OK\r\nWisteriareel-Response-Seal: s\r\n"
-                          "Content-Length: 4\r\n\r\ndone");
+                          "Connection: close\r\nContent-Length: 4\r\n\r\n"
+                          "done");
   });
   Log4cxxEventLog log({.logger = "paused", .standard_output = true});
   log_ = &log;
