Start the instances of a test at other ports if one was taken meanwhile

What was seen: 1 of 1500 runs of paused_log_reader_test, 12 at once, failed with "Address already in use" and then waited for a minute.

Cause: a port was free when the fixture checked it, and another process took it before the instance listened.

Change: up to five attempts, each at ports that are free then. A test still fails if no attempt succeeds.

--- a/test/router_daemon_fixture.h
+++ b/test/router_daemon_fixture.h
@@ -218,6 +218,8 @@
 
 class RouterDaemonTest : public ::testing::Test {
  protected:
+  static constexpr int kMaxStarts = 5;
+
   static RouteConfig MakeConfig(RouteKind kind) {
     return {.revision = Revision(1),
             .routes = {{.name = "r",
@@ -243,6 +245,24 @@
     StartInstances(1, MakeConfig(kind), {MakeTarget("t", target_port)});
   }
 
+  // Starts an instance at ports that are free. Returns false with a reason if
+  // one isn't free any more.
+  bool StartInstance(RouterSettings* settings, LastReason* reason) {
+    settings->listen.callers = {.host = "127.0.0.1", .port = FreePort()};
+    settings->listen.ready = {.host = "127.0.0.1", .port = FreePort()};
+    settings->listen.peers = {.host = "127.0.0.1", .port = FreePort()};
+    auto daemon = std::make_unique<RouterDaemon>(
+        *settings,
+        RouterDependencies{.codec = &codec_,
+                           .table = &table_,
+                           .source = source_.get(),
+                           .loads = &loads_},
+        &io_, log_, [] {});
+    if (!daemon->Start(reason)) return false;
+    daemons_.push_back(std::move(daemon));
+    return true;
+  }
+
   // Starts `count` instances on one thread. `settings_` are those of the first.
   void StartInstances(int count, const RouteConfig& config,
                       const std::vector<TargetEntry>& targets) {
@@ -253,21 +273,16 @@
           .id = InstanceId(n == 0 ? "i" : absl::StrCat("i", n)),
           .zone = ZoneId("a")};
       settings.shutdown_grace = shutdown_grace_;
-      settings.listen.callers = {.host = "127.0.0.1", .port = FreePort()};
-      settings.listen.ready = {.host = "127.0.0.1", .port = FreePort()};
-      settings.listen.peers = {.host = "127.0.0.1", .port = FreePort()};
+      LastReason reason;
+      // Another process may take a port after it was checked.
+      bool started = false;
+      for (int tries = 0; !started && tries < kMaxStarts; ++tries) {
+        started = StartInstance(&settings, &reason);
+      }
+      ASSERT_TRUE(started) << reason.detail();
       if (n == 0) settings_ = settings;
       caller_ports_.push_back(settings.listen.callers.port);
       ready_ports_.push_back(settings.listen.ready.port);
-      daemons_.push_back(std::make_unique<RouterDaemon>(
-          settings,
-          RouterDependencies{.codec = &codec_,
-                             .table = &table_,
-                             .source = source_.get(),
-                             .loads = &loads_},
-          &io_, log_, [] {}));
-      LastReason reason;
-      ASSERT_TRUE(daemons_.back()->Start(&reason)) << reason.detail();
     }
     thread_ = std::thread([this] { daemons_.front()->Run(); });
     // Ready once configuration and targets are known.
