--- a/test/forward_target_rate_limits_fleet_test.cc
+++ b/test/forward_target_rate_limits_fleet_test.cc
@@ -44,7 +44,7 @@
   }
   cases.push_back({"300Instances", Fleet(300, 20)});
   cases.push_back({"HighLimit", Fleet(8, 200)});
-  cases.push_back({"Incident", Fleet(6, 1.2)});
+  cases.push_back({"SixInstances", Fleet(6, 1.2)});
   cases.back().options.requests_per_s = 11;
   for (const double limit : {1.2, 10.0}) {
     const auto add = [&](const std::string& name) -> RateLimitFleetOptions& {
