Reject a response whose status isn't from 100 to 599

Callers saw: a target in trouble responded with status 000, and the caller got it as the response. Cause: Boost.Beast takes any three digits for a status. Evidence: router_broken_response_test, a target that responds with each of ten statuses, with a length, in chunks and up to the end of the connection, on routes of each kind. Change: ResponseParser reads a response and rejects a head with such a status as malformed. It is a module of its own, since each reader of responses has to use it. 600 to 999 are rejected too: no standard defines them, and RFC 9110 lets a recipient treat them as a failure of the server. A caller gets 502 with may_have_run, or another target's response if the request may be repeated.

--- a/src/runtime/target_attempt.cc
+++ b/src/runtime/target_attempt.cc
@@ -24,8 +24,6 @@
 // A target that acknowledges no data for this long counts as disconnected.
 constexpr absl::Duration kPeerTimeout = absl::Milliseconds(1500);
 constexpr std::size_t kReadBytes = 16 << 10;
-constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
-constexpr std::uint64_t kMaxBodyBytes = 256 << 20;
 // Maximum number of received bytes that the parser has not consumed, such as a
 // chunk extension without an end.
 constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
@@ -127,11 +125,7 @@
 }
 
 void TargetAttempt::ResetParser() {
-  parser_.emplace();
-  parser_->eager(true);
-  parser_->header_limit(kMaxHeaderBytes);
-  parser_->body_limit(kMaxBodyBytes);
-  if (request_.head_only) parser_->skip(true);
+  parser_.emplace(ResponseParser::Options{.head_only = request_.head_only});
   head_seen_ = false;
   unrelated_response_ = false;
 }
@@ -165,9 +159,8 @@
 // if the attempt has ended.
 bool TargetAttempt::HandleHead() {
   head_seen_ = true;
-  const ResponseHead& head = parser_->get().base();
-  const bool interim = head.result_int() >= 100 && head.result_int() < 200;
-  if (interim || !codec_->IsResponseTo(head, request_.id)) {
+  const ResponseHead& head = parser_->head();
+  if (parser_->is_interim() || !codec_->IsResponseTo(head, request_.id)) {
     // The latter is a late response to an earlier request on this connection.
     unrelated_response_ = true;
     if (++unrelated_responses_ <= kMaxUnrelatedResponses) return true;
@@ -186,26 +179,21 @@
 void TargetAttempt::ParseResponse() {
   const std::shared_ptr<TargetAttempt> self = shared_from_this();
   for (;;) {
-    error_code ec;
-    const std::size_t used =
-        buffer_.size() > 0 ? parser_->put(buffer_.data(), ec) : 0;
-    buffer_.consume(used);
-    if (ec == http::error::need_more) ec = {};
-    if (!ec && eof_ && buffer_.size() == 0 && !parser_->is_done() &&
-        parser_->got_some()) {
-      parser_->put_eof(ec);
-    }
-    if (ec) {
+    const asio::const_buffer bytes = buffer_.cdata();
+    buffer_.consume(
+        parser_->Put({static_cast<const char*>(bytes.data()), bytes.size()}));
+    if (eof_) parser_->PutEnd();
+    if (parser_->is_malformed()) {
       FailAttempt(eof_ ? BrokenCause::kClosed : BrokenCause::kOther);
       return;
     }
-    if (parser_->is_header_done() && !head_seen_ && !HandleHead()) return;
-    std::string body = std::exchange(parser_->get().body(), {});
+    if (parser_->has_head() && !head_seen_ && !HandleHead()) return;
+    const std::string body = parser_->TakeBody();
     if (!body.empty() && !unrelated_response_) {
       observer_->OnTargetResponseBody(body);
       if (observer_ == nullptr) return;
     }
-    if (parser_->is_done()) {
+    if (parser_->is_complete()) {
       if (!unrelated_response_) {
         CompleteAttempt();
         return;
@@ -217,7 +205,6 @@
       FailAttempt(eof_ ? BrokenCause::kClosed : BrokenCause::kOther);
       return;
     }
-    if (used > 0 && buffer_.size() > 0 && !parser_->is_header_done()) continue;
     ReadResponse();
     return;
   }
@@ -225,9 +212,9 @@
 
 void TargetAttempt::CompleteAttempt() {
   TargetAttemptObserver* observer = std::exchange(observer_, nullptr);
-  const bool reusable = parser_->get().keep_alive() && written_ && !eof_ &&
+  const bool reusable = parser_->keeps_connection() && written_ && !eof_ &&
                         buffer_.size() == 0 && !reading_;
-  const absl::Duration idle_timeout = ParseIdleTimeout(parser_->get().base());
+  const absl::Duration idle_timeout = ParseIdleTimeout(parser_->head());
   if (reusable && idle_timeout > absl::ZeroDuration()) {
     connections_->Release(request_.target, std::move(socket_), idle_timeout);
   } else {
--- a/src/runtime/target_attempt.h
+++ b/src/runtime/target_attempt.h
@@ -13,8 +13,7 @@
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/steady_timer.hpp"
 #include "boost/beast/core/flat_buffer.hpp"
-#include "boost/beast/http/parser.hpp"
-#include "boost/beast/http/string_body.hpp"
+#include "src/message/response_parser.h"
 #include "src/runtime/message_codec.h"
 #include "src/runtime/target_connection_pool.h"
 #include "wisteriareel/types.h"
@@ -75,9 +74,6 @@
   void Resume();
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void Connect();
   void WriteRequest();
   void ReadResponse();
@@ -101,7 +97,7 @@
   bool reused_connection_ = false;
   int unrelated_responses_ = 0;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<ResponseParser> parser_;
   bool reading_ = false;
   bool paused_ = false;
   bool written_ = false;
--- /dev/null
+++ b/test/router_broken_response_test.cc
@@ -0,0 +1,75 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "test/broken_responses.h"
+#include "test/raw_connection.h"
+#include "test/router_daemon_fixture.h"
+
+namespace wisteriareel {
+namespace {
+
+using ::testing::Combine;
+using ::testing::HasSubstr;
+using ::testing::Not;
+using ::testing::StartsWith;
+using ::testing::Values;
+using ::testing::ValuesIn;
+
+const std::string kIdAndSeal =
+    "Wisteriareel-Request-Id: q1\r\nWisteriareel-Response-Seal: s\r\n";
+
+class BrokenResponseTest : public RouterDaemonTest {
+ protected:
+  // Returns what a caller gets if its target responds with `bytes` and closes
+  // the connection.
+  std::string GetResponse(RouteKind kind, const std::string& bytes) {
+    ScriptedTarget target([&](int fd) {
+      ScriptedTarget::ReadRequest(fd);
+      ScriptedTarget::Write(fd, bytes);
+    });
+    Start(target.port(), kind);
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(Request("q1", "Connection: close\r\n"));
+    return caller.ReadAll();
+  }
+
+  // Expects that the caller gets an error response of the router, which doesn't
+  // say that the request did not run.
+  void ExpectBroken(RouteKind kind, const std::string& bytes) {
+    const std::string response = GetResponse(kind, bytes);
+    EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+    EXPECT_THAT(response, Not(HasSubstr(kBodyMark)));
+    EXPECT_THAT(response, Not(HasSubstr("Wisteriareel-Response-Seal")));
+    EXPECT_THAT(response, Not(HasSubstr("not_run")));
+  }
+};
+
+const auto kAllKinds = Values(RouteKind::kIdempotent, RouteKind::kNonIdempotent,
+                              RouteKind::kStreaming);
+
+class StatusTest : public BrokenResponseTest,
+                   public ::testing::WithParamInterface<
+                       std::tuple<RouteKind, BodyEnd, std::string>> {};
+
+// Callers got a response with status 000.
+TEST_P(StatusTest, AResponseWithAnInvalidStatusIsNotRelayed) {
+  const auto& [kind, end, status] = GetParam();
+  ExpectBroken(kind, absl::StrCat("HTTP/1.1 ", status, " X\r\n", kIdAndSeal,
+                                  FrameBody(end, kBody)));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, StatusTest,
+                         Combine(kAllKinds,
+                                 Values(BodyEnd::kLength, BodyEnd::kChunks,
+                                        BodyEnd::kConnection),
+                                 ValuesIn(InvalidStatuses())));
+
+}  // namespace
+}  // namespace wisteriareel
