Don't take a reset during the upload for the end of the body

Callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as the complete body. Cause: a socket reports its error once. While the request was still being written, both operations were pending when the reset came; the write is performed first, so it got the error, and the read that followed saw the end of the stream. The write's failure was dropped: its comment said that the read reports it too. Ruled out: a stated length or chunks. Change: TargetAttempt::EndResponse decides what the end of the connection means for the response. After a failed write it is a failure, whichever of the two is reported first. If the write is still pending, a body that ends with the connection is complete only once the request has been written, since a target may answer early and read on; the time limits of the request and the caller's leaving end that wait.

--- a/src/message/response_parser.h
+++ b/src/message/response_parser.h
@@ -38,6 +38,10 @@
   // consumed. Without this call, a response without a length isn't complete.
   void PutEnd();
 
+  // Tells the parser that the connection has failed. A response that wasn't
+  // complete before is malformed then.
+  void PutFailure() { is_malformed_ = !is_complete_; }
+
   // Returns true if the response violates the protocol, or if it is incomplete
   // at the end of the connection.
   bool is_malformed() const { return is_malformed_; }
--- a/src/runtime/target_attempt.cc
+++ b/src/runtime/target_attempt.cc
@@ -117,13 +117,18 @@
       asio::buffer(request_.head), asio::buffer(*request_.body)};
   asio::async_write(*socket_, buffers,
                     [self = shared_from_this()](error_code ec, std::size_t) {
-                      // A failed write also makes the read fail,
-                      // and the read reports the failure.
-                      if (!ec) self->written_ = true;
+                      if (self->observer_ != nullptr) self->OnWritten(ec);
                     });
   ReadResponse();
 }
 
+void TargetAttempt::OnWritten(const error_code& ec) {
+  // The target may have sent a complete response before the write failed, so
+  // that reading goes on.
+  write_state_ = ec ? WriteState::kFailed : WriteState::kDone;
+  if (eof_) ParseResponse();
+}
+
 void TargetAttempt::ResetParser() {
   parser_.emplace(ResponseParser::Options{.head_only = request_.head_only});
   head_seen_ = false;
@@ -182,7 +187,8 @@
     const asio::const_buffer bytes = buffer_.cdata();
     buffer_.consume(
         parser_->Put({static_cast<const char*>(bytes.data()), bytes.size()}));
-    if (eof_) parser_->PutEnd();
+    if (eof_ && MustAwaitWrite()) return;
+    if (eof_) EndResponse();
     if (parser_->is_malformed()) {
       FailAttempt(eof_ ? BrokenCause::kClosed : BrokenCause::kOther);
       return;
@@ -210,9 +216,26 @@
   }
 }
 
+bool TargetAttempt::MustAwaitWrite() const {
+  return write_state_ == WriteState::kPending && parser_->has_head() &&
+         !parser_->is_complete() && parser_->ends_with_connection() &&
+         !unrelated_response_;
+}
+
+void TargetAttempt::EndResponse() {
+  // A socket reports an error once. If the write got it, the read that follows
+  // sees the end of the stream although the connection was reset.
+  if (write_state_ == WriteState::kFailed) {
+    parser_->PutFailure();
+  } else {
+    parser_->PutEnd();
+  }
+}
+
 void TargetAttempt::CompleteAttempt() {
   TargetAttemptObserver* observer = std::exchange(observer_, nullptr);
-  const bool reusable = parser_->keeps_connection() && written_ && !eof_ &&
+  const bool reusable = parser_->keeps_connection() &&
+                        write_state_ == WriteState::kDone && !eof_ &&
                         buffer_.size() == 0 && !reading_;
   const absl::Duration idle_timeout = ParseIdleTimeout(parser_->head());
   if (reusable && idle_timeout > absl::ZeroDuration()) {
--- a/src/runtime/target_attempt.h
+++ b/src/runtime/target_attempt.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -76,9 +77,15 @@
  private:
   void Connect();
   void WriteRequest();
+  void OnWritten(const boost::system::error_code& ec);
   void ReadResponse();
   void OnRead(const boost::system::error_code& ec, std::size_t n);
   void ParseResponse();
+  // Returns true if it isn't known yet whether the end of the connection is the
+  // end of the response.
+  bool MustAwaitWrite() const;
+  // Applies the end of the connection to the response.
+  void EndResponse();
   bool HandleHead();
   void ResetParser();
   void CompleteAttempt();
@@ -100,7 +107,9 @@
   std::optional<ResponseParser> parser_;
   bool reading_ = false;
   bool paused_ = false;
-  bool written_ = false;
+  // Progress of writing the request.
+  enum class WriteState : std::uint8_t { kPending, kDone, kFailed };
+  WriteState write_state_ = WriteState::kPending;
   bool head_seen_ = false;
   // The response being read is informational (1xx) or belongs to another
   // request, and is discarded.
--- a/test/router_broken_response_test.cc
+++ b/test/router_broken_response_test.cc
@@ -71,5 +71,46 @@
                                         BodyEnd::kConnection),
                                  ValuesIn(InvalidStatuses())));
 
+class EarlyResponseTest
+    : public BrokenResponseTest,
+      public ::testing::WithParamInterface<std::tuple<RouteKind, bool>> {};
+
+// The target responds before it has read the upload, sends a part of the body
+// and resets the connection. Callers got that part as the complete body.
+TEST_P(EarlyResponseTest, AResetDuringTheUploadIsNotTheEndOfTheBody) {
+  // Larger than what the buffers of a loopback connection hold.
+  constexpr std::size_t kUploadBytes = 24 << 20;
+  const auto& [kind, with_linger] = GetParam();
+  ScriptedTarget target([with_linger = with_linger](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    ScriptedTarget::Write(
+        fd, absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal, "\r\n", kBody));
+    // Unread bytes make the close a reset.
+    if (!with_linger) return;
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  });
+  RouteConfig config = MakeConfig(kind);
+  config.limits.max_body_bytes = kUploadBytes;
+  StartInstances(1, config, {MakeTarget("t", target.port())});
+  RawConnection caller(settings_.listen.callers.port);
+  const std::string head = absl::StrCat(
+      "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key\r\n"
+      "Wisteriareel-Request-Id: q1\r\nConnection: close\r\nContent-Length: ",
+      kUploadBytes, "\r\n\r\n");
+  caller.Send(absl::StrCat(head, std::string(kUploadBytes, 'x')));
+  const std::string response = caller.ReadAll();
+  if (kind == RouteKind::kStreaming) {
+    EXPECT_THAT(response, Not(HasSubstr("\r\n0\r\n")));
+    return;
+  }
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+  EXPECT_THAT(response, Not(HasSubstr(kBodyMark)));
+  EXPECT_THAT(response, Not(HasSubstr("not_run")));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, EarlyResponseTest,
+                         Combine(kAllKinds, ::testing::Bool()));
+
 }  // namespace
 }  // namespace wisteriareel
