Test malformed fields and chunks, which were rejected already

A blank, a tabulator, each other control byte, a byte over 127 or nothing as or in a name, a blank before the colon, a line without a colon, and CR, LF, NUL or another control byte in a value give 502 with may_have_run on routes of each kind. So do malformed or missing chunks. A stream that ends within an event, by length, chunks or connection, is broken off. Several broken responses one after the other don't change what the next request on the caller's connection gets. No product code changes.

--- a/test/broken_responses.h
+++ b/test/broken_responses.h
@@ -39,6 +39,48 @@
           "20",  "2000", "2x0", "+20", "-200"};
 }
 
+// Lines of a head that aren't header fields.
+inline std::vector<std::string> MalformedFields() {
+  std::vector<std::string> lines = {": x",
+                                    "X-A : x",
+                                    "X-A\t: x",
+                                    "X A: x",
+                                    "X\tA: x",
+                                    "X-A",
+                                    "X\x80: x",
+                                    "X\xff: x",
+                                    "X(A): x",
+                                    "X-A: a\rb",
+                                    "X-A: a\nX-B: b",
+                                    "X-A: a\x01z",
+                                    "X-A: a\x7fz",
+                                    std::string("X-A: a\0b", 8)};
+  for (char control = 0; control < ' '; ++control) {
+    lines.push_back(absl::StrCat("X", std::string(1, control), "A: x"));
+  }
+  return lines;
+}
+
+// Chunks that are malformed or incomplete.
+inline std::vector<std::string> MalformedChunks() {
+  const std::string size = absl::StrCat(absl::Hex(kBody.size()));
+  const std::string chunk = absl::StrCat(size, "\r\n", kBody, "\r\n");
+  return {chunk,
+          absl::StrCat(chunk, "0\r\n"),
+          absl::StrCat(chunk, "\r\n0\r\n\r\n"),
+          absl::StrCat(chunk, "-1\r\n\r\n"),
+          absl::StrCat(chunk, "0x0\r\n\r\n"),
+          absl::StrCat(chunk, "g\r\n\r\n"),
+          absl::StrCat(chunk, "0 0\r\n\r\n"),
+          absl::StrCat(chunk, "0\n\n"),
+          absl::StrCat(chunk, "0\r\nX A: x\r\n\r\n"),
+          absl::StrCat(chunk, "0\r\nX-A\r\n\r\n"),
+          absl::StrCat("1", size, "\r\n", kBody, "\r\n0\r\n\r\n"),
+          absl::StrCat(size, "\r\n", kBody, "X\r\n0\r\n\r\n"),
+          absl::StrCat(size, "\r\n", kBody, "0\r\n\r\n"),
+          absl::StrCat("ffffffffffffffffff\r\n", kBody)};
+}
+
 }  // namespace wisteriareel
 
 #endif  // WISTERIAREEL_TEST_BROKEN_RESPONSES_H_
--- a/test/router_broken_response_test.cc
+++ b/test/router_broken_response_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 using ::testing::Combine;
+using ::testing::EndsWith;
 using ::testing::HasSubstr;
 using ::testing::Not;
 using ::testing::StartsWith;
@@ -71,6 +72,90 @@
                                         BodyEnd::kConnection),
                                  ValuesIn(InvalidStatuses())));
 
+class HeadTest
+    : public BrokenResponseTest,
+      public ::testing::WithParamInterface<std::tuple<RouteKind, std::string>> {
+};
+
+// A head with a line that isn't a header field.
+TEST_P(HeadTest, AResponseWithAMalformedFieldIsNotRelayed) {
+  const auto& [kind, line] = GetParam();
+  ExpectBroken(kind, absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal, line,
+                                  "\r\n", FrameBody(BodyEnd::kLength, kBody)));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, HeadTest,
+                         Combine(kAllKinds, ValuesIn(MalformedFields())));
+
+class ChunkTest
+    : public BrokenResponseTest,
+      public ::testing::WithParamInterface<std::tuple<RouteKind, std::string>> {
+};
+
+TEST_P(ChunkTest, AResponseWithMalformedChunksIsNotComplete) {
+  const auto& [kind, chunks] = GetParam();
+  const std::string response = GetResponse(
+      kind, absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal,
+                         "Transfer-Encoding: chunked\r\n\r\n", chunks));
+  // An event that was complete has been relayed.
+  if (kind == RouteKind::kStreaming) {
+    EXPECT_THAT(response, Not(EndsWith("\r\n0\r\n\r\n")));
+    return;
+  }
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 502"));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, ChunkTest,
+                         Combine(kAllKinds, ValuesIn(MalformedChunks())));
+
+class BrokenStreamTest
+    : public BrokenResponseTest,
+      public ::testing::WithParamInterface<std::tuple<BodyEnd, std::string>> {};
+
+TEST_P(BrokenStreamTest, AStreamThatEndsWithinAnEventIsBrokenOff) {
+  const auto& [end, partial] = GetParam();
+  const std::string response = GetResponse(
+      RouteKind::kStreaming, absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal,
+                                          FrameBody(end, kBody + partial)));
+  EXPECT_THAT(response, EndsWith(kBody + "\r\n"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    AllEnds, BrokenStreamTest,
+    Combine(Values(BodyEnd::kLength, BodyEnd::kChunks, BodyEnd::kConnection),
+            Values("id: ", "id: 2", "id: 2\n", "id: 2\nda", "id: 2\ndata: two",
+                   "id: 2\ndata: two\n", "id: 2\ndata: two\r\n\r",
+                   ": comment")));
+
+class KeptConnectionTest : public BrokenResponseTest {};
+
+// Broken responses one after the other, and then a sound one.
+TEST_F(KeptConnectionTest, ACallerGetsItsOwnResponseAfterBrokenOnes) {
+  const std::vector<std::string> broken = {
+      absl::StrCat("HTTP/1.1 000 X\r\n", kIdAndSeal,
+                   FrameBody(BodyEnd::kLength, kBody)),
+      absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal, "X A: x\r\n",
+                   FrameBody(BodyEnd::kLength, kBody)),
+      absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal,
+                   "Transfer-Encoding: chunked\r\n\r\nz\r\n", kBody),
+      "no response at all\r\n\r\n"};
+  std::size_t requests = 0;
+  ScriptedTarget target([&](int fd) {
+    ScriptedTarget::ReadRequest(fd);
+    const std::size_t n = requests++;
+    ScriptedTarget::Write(
+        fd, n < broken.size() ? broken[n] : CompleteResponse("q1", "sound"));
+  });
+  Start(target.port(), RouteKind::kIdempotent);
+  RawConnection caller(settings_.listen.callers.port);
+  for (std::size_t n = 0; n < broken.size(); ++n) {
+    caller.Send(Request("q1"));
+    EXPECT_THAT(caller.ReadUntil("\"}"), StartsWith("HTTP/1.1 502"));
+  }
+  caller.Send(Request("q1"));
+  EXPECT_THAT(caller.ReadUntil("sound"), StartsWith("HTTP/1.1 200"));
+}
+
 class EarlyResponseTest
     : public BrokenResponseTest,
       public ::testing::WithParamInterface<std::tuple<RouteKind, bool>> {};
