Reject a response with a line that continues the field before it

Callers would see: a head in which the name of a field starts with a blank or a tabulator. Boost.Beast takes such a line for the rest of the field before it (obs-fold), so that the caller gets a response seal that isn't the target's, or, if the line was the length, a body that goes on to the end of the connection. Cause: the parser joins the lines before any field is checked. Evidence: FoldedFieldTest in router_broken_response_test, on routes of each kind: a blank after the seal, and a tabulator before Content-Length with more bytes than it says. Change: ResponseParser looks at the lines of the head that the parser consumed. A field is consumed together with the lines that continue it, however they arrive, so that each such line is found. RFC 9112 lets a gateway reject these responses; joining the lines is what made the loss possible. The parser's state is one value now instead of two flags.

--- a/src/message/response_parser.cc
+++ b/src/message/response_parser.cc
@@ -21,6 +21,13 @@
   return status >= kMinStatus && status <= kMaxStatus;
 }
 
+// Returns true if a line starts with a blank. It would continue the field
+// before it, so that a field whose name starts with a blank is lost.
+bool HasFoldedLine(std::string_view lines) {
+  return lines.find("\n ") != std::string_view::npos ||
+         lines.find("\n\t") != std::string_view::npos;
+}
+
 }  // namespace
 
 ResponseParser::ResponseParser(const Options& options) {
@@ -35,29 +42,11 @@
 
 std::size_t ResponseParser::Put(std::string_view bytes) {
   std::size_t used = 0;
-  if (!has_head()) used = PutHead(bytes);
-  while (has_head() && !is_malformed_ && !is_complete_ && used < bytes.size()) {
-    const std::size_t n = PutOnce(bytes.substr(used));
-    if (n == 0) break;
-    used += n;
-  }
-  return used;
-}
-
-std::size_t ResponseParser::PutHead(std::string_view bytes) {
-  std::size_t used = 0;
-  while (!parser_.is_header_done() && !is_malformed_ && used < bytes.size()) {
+  while (!is_malformed() && !is_complete() && used < bytes.size()) {
     const std::size_t n = PutOnce(bytes.substr(used));
     if (n == 0) break;
     used += n;
   }
-  if (is_malformed_ || !parser_.is_header_done()) return used;
-  if (IsValid(head())) {
-    has_head_ = true;
-  } else {
-    is_malformed_ = true;
-    is_complete_ = false;
-  }
   return used;
 }
 
@@ -65,15 +54,39 @@
   error_code ec;
   const std::size_t used =
       parser_.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
-  is_malformed_ = ec && ec != http::error::need_more;
-  is_complete_ = !is_malformed_ && parser_.is_done();
+  if (ec && ec != http::error::need_more) {
+    state_ = State::kMalformed;
+  } else if (!has_head_) {
+    CheckHead(bytes.substr(0, used));
+  } else if (parser_.is_done()) {
+    state_ = State::kComplete;
+  }
   return used;
 }
 
+void ResponseParser::CheckHead(std::string_view lines) {
+  // The parser consumes a field together with the lines that continue it.
+  if (HasFoldedLine(lines)) {
+    state_ = State::kMalformed;
+    return;
+  }
+  if (!parser_.is_header_done()) return;
+  if (!IsValid(parser_.get().base())) {
+    state_ = State::kMalformed;
+    return;
+  }
+  has_head_ = true;
+  if (parser_.is_done()) state_ = State::kComplete;
+}
+
 void ResponseParser::PutEnd() {
-  if (is_malformed_ || is_complete_) return;
-  is_complete_ = has_head() && ends_with_connection();
-  is_malformed_ = !is_complete_;
+  if (is_malformed() || is_complete()) return;
+  const bool is_whole = has_head_ && ends_with_connection();
+  state_ = is_whole ? State::kComplete : State::kMalformed;
+}
+
+void ResponseParser::PutFailure() {
+  if (!is_complete()) state_ = State::kMalformed;
 }
 
 std::string ResponseParser::TakeBody() {
--- a/src/message/response_parser.h
+++ b/src/message/response_parser.h
@@ -40,14 +40,14 @@
 
   // Tells the parser that the connection has failed. A response that wasn't
   // complete before is malformed then.
-  void PutFailure() { is_malformed_ = !is_complete_; }
+  void PutFailure();
 
   // Returns true if the response violates the protocol, or if it is incomplete
   // at the end of the connection.
-  bool is_malformed() const { return is_malformed_; }
+  bool is_malformed() const { return state_ == State::kMalformed; }
   bool has_head() const { return has_head_; }
   // Returns true if the whole response was parsed.
-  bool is_complete() const { return is_complete_; }
+  bool is_complete() const { return state_ == State::kComplete; }
 
   // The functions below must not be called before has_head() is true.
 
@@ -65,15 +65,17 @@
   std::string TakeBody();
 
  private:
-  // Parses until the head is complete. Returns the number of bytes consumed.
-  std::size_t PutHead(std::string_view bytes);
+  enum class State : std::uint8_t { kIncomplete, kComplete, kMalformed };
+
   // Calls the parser once. Returns the number of bytes consumed.
   std::size_t PutOnce(std::string_view bytes);
+  // Checks the lines of the head that were just parsed, and the head once it is
+  // complete.
+  void CheckHead(std::string_view lines);
 
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
   bool has_head_ = false;
-  bool is_malformed_ = false;
-  bool is_complete_ = false;
+  State state_ = State::kIncomplete;
 };
 
 }  // namespace wisteriareel
--- a/test/router_broken_response_test.cc
+++ b/test/router_broken_response_test.cc
@@ -87,6 +87,26 @@
 INSTANTIATE_TEST_SUITE_P(AllKinds, HeadTest,
                          Combine(kAllKinds, ValuesIn(MalformedFields())));
 
+class FoldedFieldTest : public BrokenResponseTest,
+                        public ::testing::WithParamInterface<RouteKind> {};
+
+// The name of the field starts with a blank, so that the line continues the
+// field before it.
+TEST_P(FoldedFieldTest, AFieldAfterABlankDoesNotChangeTheSeal) {
+  ExpectBroken(GetParam(),
+               absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal, " X-A: x\r\n",
+                            FrameBody(BodyEnd::kLength, kBody)));
+}
+
+TEST_P(FoldedFieldTest, ALengthAfterATabulatorIsNotLost) {
+  ExpectBroken(GetParam(),
+               absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal,
+                            "X-A: x\r\n\tContent-Length: ", kBody.size(),
+                            "\r\n\r\n", kBody, "id: 2\ndata: more\n\n"));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, FoldedFieldTest, kAllKinds);
+
 class ChunkTest
     : public BrokenResponseTest,
       public ::testing::WithParamInterface<std::tuple<RouteKind, std::string>> {
