Reject a response whose transfer coding isn't understood

Callers would see: a response with a transfer coding other than chunked, more than one, or an empty one. Boost.Beast reads its body up to the length or to the end of the connection; the router drops the header, so that the caller gets coded bytes, or the chunks' sizes among the text, as a complete body. Cause: only a value that ends with chunked selects the decoding of chunks; every other value is ignored. Evidence: FramingTest in router_broken_response_test: nine codings, coding and length, two codings, and lengths that are signed, empty, too large or contradict each other, on routes of each kind. The lengths were rejected already, and so was chunked beside a length. Change: ResponseParser accepts no transfer coding or exactly chunked, and none in HTTP/1.0.

--- a/src/message/response_parser.cc
+++ b/src/message/response_parser.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "boost/asio/buffer.hpp"
+#include "boost/beast/core/string.hpp"
 #include "boost/beast/http/error.hpp"
 
 namespace wisteriareel {
@@ -11,14 +12,28 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+constexpr unsigned kVersion11 = 11;
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMaxStatus = 599;
 
-// Returns true if the response can be understood in only one way.
+bool HasValidStatus(const http::response_header<>& head) {
+  return head.result_int() >= kMinStatus && head.result_int() <= kMaxStatus;
+}
+
+// Returns true if the body has no transfer coding or only the one that the
+// parser removes. Any other one, or a coding in HTTP/1.0, leaves in doubt where
+// the body ends and what it is.
+bool HasKnownCoding(const http::response_header<>& head) {
+  const std::size_t n = head.count(http::field::transfer_encoding);
+  if (n == 0) return true;
+  return n == 1 && head.version() == kVersion11 &&
+         boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
+}
+
+// Returns true if all receivers understand the response in the same way.
 bool IsValid(const http::response_header<>& head) {
-  const unsigned status = head.result_int();
-  return status >= kMinStatus && status <= kMaxStatus;
+  return HasValidStatus(head) && HasKnownCoding(head);
 }
 
 // Returns true if a line starts with a blank. It would continue the field
--- a/test/broken_responses.h
+++ b/test/broken_responses.h
@@ -61,6 +61,42 @@
   return lines;
 }
 
+// Framing fields, the blank line and a body whose end is in doubt.
+inline std::vector<std::string> AmbiguousFramings() {
+  const std::string length = absl::StrCat(kBody.size());
+  const std::string chunks =
+      absl::StrCat(absl::Hex(kBody.size()), "\r\n", kBody, "\r\n0\r\n\r\n");
+  const std::string end = "\r\n\r\n";
+  std::vector<std::string> framings;
+  for (const std::string coding :
+       {"gzip", "identity", "gzip, chunked", "chunked, chunked",
+        "chunked, gzip", "xchunked", "chunked;q=1", "\"chunked\"", ""}) {
+    framings.push_back(
+        absl::StrCat("Transfer-Encoding: ", coding, end, chunks));
+  }
+  for (const std::string length_value : {"+5", "-5", "0x5", "5.0", "5 5", "5;",
+                                         "", "five", "99999999999999999999"}) {
+    framings.push_back(
+        absl::StrCat("Content-Length: ", length_value, end, kBody));
+  }
+  framings.push_back(absl::StrCat("Content-Length: ", length,
+                                  "\r\nContent-Length: 3", end, kBody));
+  framings.push_back(
+      absl::StrCat("Content-Length: ", length, ", 3", end, kBody));
+  framings.push_back(absl::StrCat("Content-Length: ", length,
+                                  "\r\nTransfer-Encoding: chunked", end,
+                                  chunks));
+  framings.push_back(absl::StrCat(
+      "Transfer-Encoding: chunked\r\nContent-Length: ", length, end, chunks));
+  framings.push_back(absl::StrCat(
+      "Transfer-Encoding: gzip\r\nContent-Length: ", length, end, kBody));
+  framings.push_back(
+      absl::StrCat("Transfer-Encoding: chunked\r\n"
+                   "Transfer-Encoding: chunked",
+                   end, chunks));
+  return framings;
+}
+
 // Chunks that are malformed or incomplete.
 inline std::vector<std::string> MalformedChunks() {
   const std::string size = absl::StrCat(absl::Hex(kBody.size()));
--- a/test/router_broken_response_test.cc
+++ b/test/router_broken_response_test.cc
@@ -107,6 +107,20 @@
 
 INSTANTIATE_TEST_SUITE_P(AllKinds, FoldedFieldTest, kAllKinds);
 
+class FramingTest
+    : public BrokenResponseTest,
+      public ::testing::WithParamInterface<std::tuple<RouteKind, std::string>> {
+};
+
+// The fields and the bytes after them leave in doubt where the body ends.
+TEST_P(FramingTest, AnAmbiguousResponseIsNotRelayed) {
+  const auto& [kind, rest] = GetParam();
+  ExpectBroken(kind, absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal, rest));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, FramingTest,
+                         Combine(kAllKinds, ValuesIn(AmbiguousFramings())));
+
 class ChunkTest
     : public BrokenResponseTest,
       public ::testing::WithParamInterface<std::tuple<RouteKind, std::string>> {
