Keep trailer fields out of a response's head

Callers would see: a trailer that a target sends after its body, as fields of the head. A trailer that states that the request did not run made the router drop the response and refuse the request as not run (or send it to another target), although it had run; a second seal in a trailer was relayed beside the target's own. Cause: Boost.Beast adds trailer fields to the head it has parsed. If the whole response arrives in one piece, they are there before the head is looked at. Evidence: TrailerTest in router_broken_response_test: 6 of 6 failed on the code before, on routes of each kind. Change: ResponseParser takes the head out of the parser before the body is parsed. Result: 6 of 6; 385 of 385 in the file; early_response_test and router_hostile_target_test pass.

--- a/src/message/response_parser.cc
+++ b/src/message/response_parser.cc
@@ -52,7 +52,7 @@
 }
 
 bool ResponseParser::is_interim() const {
-  return head().result_int() < kMinFinalStatus;
+  return head_->result_int() < kMinFinalStatus;
 }
 
 std::size_t ResponseParser::Put(std::string_view bytes) {
@@ -71,7 +71,7 @@
       parser_.put(boost::asio::buffer(bytes.data(), bytes.size()), ec);
   if (ec && ec != http::error::need_more) {
     state_ = State::kMalformed;
-  } else if (!has_head_) {
+  } else if (!has_head()) {
     CheckHead(bytes.substr(0, used));
   } else if (parser_.is_done()) {
     state_ = State::kComplete;
@@ -90,13 +90,14 @@
     state_ = State::kMalformed;
     return;
   }
-  has_head_ = true;
+  // The parser adds trailer fields to its own head later.
+  head_ = std::move(parser_.get().base());
   if (parser_.is_done()) state_ = State::kComplete;
 }
 
 void ResponseParser::PutEnd() {
   if (is_malformed() || is_complete()) return;
-  const bool is_whole = has_head_ && ends_with_connection();
+  const bool is_whole = has_head() && ends_with_connection();
   state_ = is_whole ? State::kComplete : State::kMalformed;
 }
 
--- a/src/message/response_parser.h
+++ b/src/message/response_parser.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -45,15 +46,14 @@
   // Returns true if the response violates the protocol, or if it is incomplete
   // at the end of the connection.
   bool is_malformed() const { return state_ == State::kMalformed; }
-  bool has_head() const { return has_head_; }
+  bool has_head() const { return head_.has_value(); }
   // Returns true if the whole response was parsed.
   bool is_complete() const { return state_ == State::kComplete; }
 
   // The functions below must not be called before has_head() is true.
 
-  const boost::beast::http::response_header<>& head() const {
-    return parser_.get().base();
-  }
+  // Returns the head, which trailer fields aren't part of.
+  const boost::beast::http::response_header<>& head() const { return *head_; }
   // Returns true for a response that precedes the final one (1xx).
   bool is_interim() const;
   // Returns true if the body ends with the connection.
@@ -74,7 +74,7 @@
   void CheckHead(std::string_view lines);
 
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
-  bool has_head_ = false;
+  std::optional<boost::beast::http::response_header<>> head_;
   State state_ = State::kIncomplete;
 };
 
--- a/test/router_broken_response_test.cc
+++ b/test/router_broken_response_test.cc
@@ -142,6 +142,37 @@
 INSTANTIATE_TEST_SUITE_P(AllKinds, ChunkTest,
                          Combine(kAllKinds, ValuesIn(MalformedChunks())));
 
+class TrailerTest : public BrokenResponseTest,
+                    public ::testing::WithParamInterface<RouteKind> {
+ protected:
+  // Returns what the caller gets if `trailer` follows the response's body.
+  std::string GetResponseWithTrailer(const std::string& trailer) {
+    return GetResponse(GetParam(),
+                       absl::StrCat("HTTP/1.1 200 OK\r\n", kIdAndSeal,
+                                    "Transfer-Encoding: chunked\r\n\r\n",
+                                    absl::Hex(kBody.size()), "\r\n", kBody,
+                                    "\r\n0\r\n", trailer, "\r\n\r\n"));
+  }
+};
+
+// A trailer is no part of the head, however much of the response arrives at
+// once.
+TEST_P(TrailerTest, ATrailerDoesNotStateThatTheRequestDidNotRun) {
+  const std::string response =
+      GetResponseWithTrailer("Wisteriareel-Not-Executed: 1");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(response, HasSubstr(kBodyMark));
+}
+
+TEST_P(TrailerTest, ATrailerIsNotRelayedAsAField) {
+  const std::string response =
+      GetResponseWithTrailer("Wisteriareel-Response-Seal: other");
+  EXPECT_THAT(response, StartsWith("HTTP/1.1 200"));
+  EXPECT_THAT(response, Not(HasSubstr("other")));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, TrailerTest, kAllKinds);
+
 class BrokenStreamTest
     : public BrokenResponseTest,
       public ::testing::WithParamInterface<std::tuple<BodyEnd, std::string>> {};
