Reject a response that leaves in doubt where the next one starts

Callers would see: a 101, which no request asks for, followed by other bytes, and an interim response (1xx) or a 204 that states a length or chunks. What comes after their heads was read as the next response, so that bytes of a body could become the response to the caller. Cause: the parser ends these responses with their heads whatever these say, and the router went on to the next one. Change: ResponseParser rejects a 101, and an interim response or a 204 that states a body. A length of 0 is accepted.

--- a/src/message/response_parser.cc
+++ b/src/message/response_parser.cc
@@ -14,7 +14,10 @@
 
 constexpr unsigned kVersion11 = 11;
 constexpr unsigned kMinStatus = 100;
+// No request asks for a change of protocol.
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kNoContent = 204;
 constexpr unsigned kMaxStatus = 599;
 
 bool HasValidStatus(const http::response_header<>& head) {
@@ -31,9 +34,20 @@
          boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
 }
 
+// Returns true if a response without a body doesn't state that it has one. The
+// head doesn't tell where the next response starts otherwise.
+bool HasKnownBody(const http::response_header<>& head) {
+  const unsigned status = head.result_int();
+  if (status >= kMinFinalStatus && status != kNoContent) return true;
+  return head.count(http::field::transfer_encoding) == 0 &&
+         (head.count(http::field::content_length) == 0 ||
+          head[http::field::content_length] == "0");
+}
+
 // Returns true if all receivers understand the response in the same way.
 bool IsValid(const http::response_header<>& head) {
-  return HasValidStatus(head) && HasKnownCoding(head);
+  return HasValidStatus(head) && head.result_int() != kSwitchingProtocols &&
+         HasKnownCoding(head) && HasKnownBody(head);
 }
 
 // Returns true if a line starts with a blank. It would continue the field
--- a/test/router_broken_response_test.cc
+++ b/test/router_broken_response_test.cc
@@ -1,6 +1,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -173,6 +174,75 @@
 
 INSTANTIATE_TEST_SUITE_P(AllKinds, TrailerTest, kAllKinds);
 
+class NoBodyTest : public BrokenResponseTest,
+                   public ::testing::WithParamInterface<
+                       std::tuple<RouteKind, BodyEnd, std::string>> {};
+
+// The length of a response that has no body leaves in doubt where the next
+// response starts.
+TEST_P(NoBodyTest, AResponseWithoutABodyThatStatesALengthIsNotRelayed) {
+  const auto& [kind, end, status_line] = GetParam();
+  ExpectBroken(kind,
+               absl::StrCat("HTTP/1.1 ", status_line, "\r\n", kIdAndSeal,
+                            FrameBody(end, CompleteResponse("q1", kBody))));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, NoBodyTest,
+                         Combine(kAllKinds,
+                                 Values(BodyEnd::kLength, BodyEnd::kChunks),
+                                 Values("100 Continue", "102 Processing",
+                                        "103 Early Hints", "204 No Content")));
+
+class ForbiddenBodyTest : public BrokenResponseTest,
+                          public ::testing::WithParamInterface<
+                              std::tuple<std::string, std::string>> {};
+
+// A body follows where none may be. It is neither relayed nor read as the
+// response to the next request.
+TEST_P(ForbiddenBodyTest, TheBodyIsDropped) {
+  const auto& [method, status] = GetParam();
+  std::atomic<int> connections = 0;
+  ScriptedTarget target([&, status = status](int fd) {
+    ++connections;
+    while (!ScriptedTarget::ReadHead(fd).empty()) {
+      ScriptedTarget::Write(
+          fd, absl::StrCat(
+                  "HTTP/1.1 ", status, "\r\n", kIdAndSeal,
+                  FrameBody(BodyEnd::kLength, CompleteResponse("q1", kBody))));
+    }
+  });
+  Start(target.port(), RouteKind::kIdempotent);
+  for (int n = 1; n <= 3; ++n) {
+    RawConnection caller(settings_.listen.callers.port);
+    caller.Send(absl::StrCat(
+        method, " /a/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key\r\n",
+        "Wisteriareel-Request-Id: q1\r\nConnection: close\r\n\r\n"));
+    const std::string response = caller.ReadAll();
+    EXPECT_THAT(response, StartsWith("HTTP/1.1 " + status));
+    EXPECT_THAT(response, EndsWith("\r\n\r\n"));
+    EXPECT_THAT(response, Not(HasSubstr(kBodyMark)));
+    EXPECT_EQ(connections, n);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses, ForbiddenBodyTest,
+                         Values(std::tuple("HEAD", "200 OK"),
+                                std::tuple("HEAD", "500 Error"),
+                                std::tuple("GET", "304 Not Modified")));
+
+class SwitchedProtocolTest : public BrokenResponseTest,
+                             public ::testing::WithParamInterface<RouteKind> {};
+
+// What follows a change of protocol is no response in HTTP.
+TEST_P(SwitchedProtocolTest, NothingIsRelayedAfterAChangeOfProtocol) {
+  ExpectBroken(GetParam(),
+               absl::StrCat("HTTP/1.1 101 Switching Protocols\r\n"
+                            "Connection: Upgrade\r\nUpgrade: x\r\n\r\n",
+                            CompleteResponse("q1", kBody)));
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, SwitchedProtocolTest, kAllKinds);
+
 class BrokenStreamTest
     : public BrokenResponseTest,
       public ::testing::WithParamInterface<std::tuple<BodyEnd, std::string>> {};
