Read the responses of the platform, peers and reports as strictly as those of targets

What the router reads itself (the platform's store, other instances, targets' reports) goes through AsyncHttpClient, which used Boost.Beast's parser directly. It took 000 to 099 and 600 to 999 for statuses, joined lines, and read bodies with other transfer codings up to the end of the connection. Nothing was decided on such a status: each caller of the client compares with the statuses that it knows. A body that isn't what was sent could be decoded. Evidence: async_http_client_test: AResponseWithAnInvalidStatusIsAFailure, AFieldThatGoesOnInTheNextLineIsAFailure and AnAmbiguousResponseIsAFailure failed on the code before. Malformed fields and chunks, and a reset before the end, were failures already; the tests are kept. The request is written before the response is read, so that no write can take the error of a reset here. Change: AsyncHttpClient uses ResponseParser. Result: all of async_http_client_test passes.

--- a/src/runtime/async_http_client.cc
+++ b/src/runtime/async_http_client.cc
@@ -8,16 +8,14 @@
 #include "boost/asio/steady_timer.hpp"
 #include "boost/asio/write.hpp"
 #include "boost/beast/core/flat_buffer.hpp"
-#include "boost/beast/http/parser.hpp"
-#include "boost/beast/http/read.hpp"
-#include "boost/beast/http/string_body.hpp"
+#include "boost/beast/core/read_size.hpp"
+#include "src/message/response_parser.h"
 #include "src/runtime/socket_options.h"
 
 namespace wisteriareel {
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using boost::system::error_code;
 using Socket = asio::ip::tcp::socket;
 
@@ -25,6 +23,7 @@
 // Maximum number of received bytes that the parser has not consumed, such as a
 // chunk extension without an end.
 constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
+constexpr std::size_t kMaxReadBytes = 64 << 10;
 // Maximum time for a complete response, even if data keeps arriving.
 constexpr absl::Duration kMaxResponseTime = absl::Seconds(20);
 // An endpoint that acknowledges neither data nor keep-alive probes for this
@@ -44,12 +43,13 @@
 class AsyncHttpClient::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(asio::io_context* io, const Endpoint& endpoint,
-          std::shared_ptr<Idle> idle, Done done)
+          std::shared_ptr<Idle> idle, const Request& request, Done done)
       : io_(io),
         endpoint_(endpoint),
         idle_(std::move(idle)),
         done_(std::move(done)),
-        timer_(*io) {}
+        timer_(*io),
+        parser_({.max_body_bytes = request.max_response_bytes}) {}
 
   void Start(const Request& request) {
     request_ = absl::StrCat(
@@ -61,7 +61,6 @@
     timeout_ = request.timeout;
     deadline_ = std::chrono::steady_clock::now() +
                 absl::ToChronoMilliseconds(kMaxResponseTime);
-    parser_.body_limit(request.max_response_bytes);
     ArmTimer();
     if (!idle_->sockets.empty()) {
       socket_ = std::move(idle_->sockets.back());
@@ -117,26 +116,44 @@
   }
 
   void Read() {
-    http::async_read_some(
-        *socket_, buffer_, parser_,
-        [self = shared_from_this()](error_code ec, std::size_t) {
+    const std::size_t size = boost::beast::read_size(buffer_, kMaxReadBytes);
+    if (size == 0) {
+      Finish(std::nullopt);
+      return;
+    }
+    socket_->async_read_some(
+        buffer_.prepare(size),
+        [self = shared_from_this()](error_code ec, std::size_t n) {
           if (self->done_ == nullptr) return;
-          if (ec) {
-            self->Finish(std::nullopt);
-          } else if (self->parser_.is_done()) {
-            self->Succeed();
-          } else {
-            self->ArmTimer();
-            self->Read();
-          }
+          self->buffer_.commit(n);
+          self->OnRead(ec);
         });
   }
 
+  void OnRead(const error_code& ec) {
+    const asio::const_buffer bytes = buffer_.cdata();
+    buffer_.consume(
+        parser_.Put({static_cast<const char*>(bytes.data()), bytes.size()}));
+    if (ec == asio::error::eof) {
+      parser_.PutEnd();
+    } else if (ec) {
+      parser_.PutFailure();
+    }
+    if (parser_.is_malformed()) {
+      Finish(std::nullopt);
+    } else if (parser_.is_complete()) {
+      Succeed();
+    } else {
+      ArmTimer();
+      Read();
+    }
+  }
+
   void Succeed() {
     HttpResponse response{
-        .status = static_cast<int>(parser_.get().result_int()),
-        .body = std::move(parser_.get().body())};
-    const bool reuse = parser_.get().keep_alive() && buffer_.size() == 0 &&
+        .status = static_cast<int>(parser_.head().result_int()),
+        .body = parser_.TakeBody()};
+    const bool reuse = parser_.keeps_connection() && buffer_.size() == 0 &&
                        !idle_->closed &&
                        idle_->sockets.size() < kMaxIdleConnections;
     if (reuse) idle_->sockets.push_back(std::move(socket_));
@@ -165,7 +182,7 @@
   std::unique_ptr<Socket> socket_;
   std::string request_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  http::response_parser<http::string_body> parser_;
+  ResponseParser parser_;
 };
 
 AsyncHttpClient::AsyncHttpClient(asio::io_context* io, Endpoint endpoint)
@@ -179,8 +196,8 @@
 }
 
 void AsyncHttpClient::Start(const Request& request, Done done) {
-  const auto session =
-      std::make_shared<Session>(io_, endpoint_, idle_, std::move(done));
+  const auto session = std::make_shared<Session>(io_, endpoint_, idle_, request,
+                                                 std::move(done));
   ++idle_->in_progress;
   session->Start(request);
 }
--- a/test/async_http_client_test.cc
+++ b/test/async_http_client_test.cc
@@ -17,6 +17,7 @@
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "gtest/gtest.h"
+#include "test/broken_responses.h"
 
 namespace wisteriareel {
 namespace {
@@ -189,5 +190,73 @@
   EXPECT_FALSE(reply.has_value());
 }
 
+// Returns the result of a request to which `bytes` is the response.
+std::optional<HttpResponse> RequestWithResponse(const std::string& bytes) {
+  return RequestFrom(absl::Seconds(20), [&](int fd) { Write(fd, bytes); });
+}
+
+TEST(AsyncHttpClientTest, AResponseWithAnInvalidStatusIsAFailure) {
+  for (const std::string& status : InvalidStatuses()) {
+    for (const BodyEnd end :
+         {BodyEnd::kLength, BodyEnd::kChunks, BodyEnd::kConnection}) {
+      EXPECT_FALSE(
+          RequestWithResponse(
+              absl::StrCat("HTTP/1.1 ", status, " X\r\n", FrameBody(end, "{}")))
+              .has_value())
+          << status;
+    }
+  }
+}
+
+TEST(AsyncHttpClientTest, AResponseWithAMalformedFieldIsAFailure) {
+  for (const std::string& line : MalformedFields()) {
+    EXPECT_FALSE(
+        RequestWithResponse(absl::StrCat("HTTP/1.1 200 OK\r\n", line, "\r\n",
+                                         FrameBody(BodyEnd::kLength, "{}")))
+            .has_value())
+        << line;
+  }
+}
+
+TEST(AsyncHttpClientTest, AFieldThatGoesOnInTheNextLineIsAFailure) {
+  EXPECT_FALSE(RequestWithResponse(
+                   "HTTP/1.1 200 OK\r\nX-A: x\r\n Content-Length: 2\r\n\r\n{}")
+                   .has_value());
+}
+
+TEST(AsyncHttpClientTest, AnAmbiguousResponseIsAFailure) {
+  for (const std::string& framing : AmbiguousFramings()) {
+    EXPECT_FALSE(
+        RequestWithResponse(absl::StrCat("HTTP/1.1 200 OK\r\n", framing))
+            .has_value())
+        << framing;
+  }
+}
+
+TEST(AsyncHttpClientTest, MalformedChunksAreAFailure) {
+  for (const std::string& chunks : MalformedChunks()) {
+    EXPECT_FALSE(RequestWithResponse(
+                     absl::StrCat("HTTP/1.1 200 OK\r\n",
+                                  "Transfer-Encoding: chunked\r\n\r\n", chunks))
+                     .has_value())
+        << chunks;
+  }
+}
+
+TEST(AsyncHttpClientTest, AResetBeforeTheEndIsAFailure) {
+  const auto reply = RequestFrom(absl::Seconds(20), [](int fd) {
+    Write(fd, "HTTP/1.1 200 OK\r\n\r\n{}");
+    const linger now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  });
+  EXPECT_FALSE(reply.has_value());
+}
+
+TEST(AsyncHttpClientTest, ABodyMayEndWithTheConnection) {
+  const auto reply = RequestWithResponse("HTTP/1.1 200 OK\r\n\r\n{}");
+  ASSERT_TRUE(reply.has_value());
+  EXPECT_EQ(reply->body, "{}");
+}
+
 }  // namespace
 }  // namespace wisteriareel
