Don't take an interim response for the response of the platform or a peer

What would happen: the platform's store, another instance or a target sends an interim response (1xx) first. The router took it for the response. The connection was kept, so that the response that followed became that of the next request on the connection: one transaction's outcome, or one table's rows, for another's. Cause: AsyncHttpClient ended a request with the first complete head; an interim response is complete with its head. Evidence: async_http_client_test: AnInterimResponseIsNotTheResponse (102 instead of 200) and EachRequestGetsItsOwnResponseAfterAnInterimOne (the second request got the first one's body) failed on the code before, as did EndlessInterimResponsesAreAFailure. Change: up to 16 interim responses are skipped, as with those of targets; more are a failure.

--- a/src/runtime/async_http_client.cc
+++ b/src/runtime/async_http_client.cc
@@ -24,6 +24,8 @@
 // chunk extension without an end.
 constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
 constexpr std::size_t kMaxReadBytes = 64 << 10;
+// Maximum number of interim responses (1xx) before the final one.
+constexpr int kMaxInterimResponses = 16;
 // Maximum time for a complete response, even if data keeps arriving.
 constexpr absl::Duration kMaxResponseTime = absl::Seconds(20);
 // An endpoint that acknowledges neither data nor keep-alive probes for this
@@ -49,7 +51,9 @@
         idle_(std::move(idle)),
         done_(std::move(done)),
         timer_(*io),
-        parser_({.max_body_bytes = request.max_response_bytes}) {}
+        parser_options_({.max_body_bytes = request.max_response_bytes}) {
+    parser_.emplace(parser_options_);
+  }
 
   void Start(const Request& request) {
     request_ = absl::StrCat(
@@ -131,17 +135,15 @@
   }
 
   void OnRead(const error_code& ec) {
-    const asio::const_buffer bytes = buffer_.cdata();
-    buffer_.consume(
-        parser_.Put({static_cast<const char*>(bytes.data()), bytes.size()}));
+    Parse();
     if (ec == asio::error::eof) {
-      parser_.PutEnd();
+      parser_->PutEnd();
     } else if (ec) {
-      parser_.PutFailure();
+      parser_->PutFailure();
     }
-    if (parser_.is_malformed()) {
+    if (parser_->is_malformed()) {
       Finish(std::nullopt);
-    } else if (parser_.is_complete()) {
+    } else if (parser_->is_complete()) {
       Succeed();
     } else {
       ArmTimer();
@@ -149,11 +151,26 @@
     }
   }
 
+  // Parses what was read, up to the end of the final response.
+  void Parse() {
+    for (;;) {
+      const asio::const_buffer bytes = buffer_.cdata();
+      buffer_.consume(
+          parser_->Put({static_cast<const char*>(bytes.data()), bytes.size()}));
+      if (!parser_->is_complete() || !parser_->is_interim()) return;
+      parser_.emplace(parser_options_);
+      if (++interim_responses_ > kMaxInterimResponses) {
+        parser_->PutFailure();
+        return;
+      }
+    }
+  }
+
   void Succeed() {
     HttpResponse response{
-        .status = static_cast<int>(parser_.head().result_int()),
-        .body = parser_.TakeBody()};
-    const bool reuse = parser_.keeps_connection() && buffer_.size() == 0 &&
+        .status = static_cast<int>(parser_->head().result_int()),
+        .body = parser_->TakeBody()};
+    const bool reuse = parser_->keeps_connection() && buffer_.size() == 0 &&
                        !idle_->closed &&
                        idle_->sockets.size() < kMaxIdleConnections;
     if (reuse) idle_->sockets.push_back(std::move(socket_));
@@ -182,7 +199,9 @@
   std::unique_ptr<Socket> socket_;
   std::string request_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  ResponseParser parser_;
+  const ResponseParser::Options parser_options_;
+  std::optional<ResponseParser> parser_;
+  int interim_responses_ = 0;
 };
 
 AsyncHttpClient::AsyncHttpClient(asio::io_context* io, Endpoint endpoint)
--- a/test/async_http_client_test.cc
+++ b/test/async_http_client_test.cc
@@ -10,12 +10,15 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
+#include "boost/asio/read_until.hpp"
+#include "boost/asio/streambuf.hpp"
 #include "gtest/gtest.h"
 #include "test/broken_responses.h"
 
@@ -258,5 +261,74 @@
   EXPECT_EQ(reply->body, "{}");
 }
 
+TEST(AsyncHttpClientTest, AnInterimResponseIsNotTheResponse) {
+  const auto reply = RequestWithResponse(
+      "HTTP/1.1 102 Processing\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  ASSERT_TRUE(reply.has_value());
+  EXPECT_EQ(reply->status, 200);
+  EXPECT_EQ(reply->body, "{}");
+}
+
+TEST(AsyncHttpClientTest, EndlessInterimResponsesAreAFailure) {
+  std::size_t sent = 0;
+  const auto reply = RequestFrom(absl::Seconds(20), [&sent](int fd) {
+    std::string more;
+    for (int n = 0; n < 500; ++n) more += "HTTP/1.1 102 Processing\r\n\r\n";
+    while (sent < kMaxEndlessBytes) {
+      const ssize_t n = send(fd, more.data(), more.size(), MSG_NOSIGNAL);
+      if (n <= 0) break;
+      sent += static_cast<std::size_t>(n);
+    }
+  });
+  EXPECT_FALSE(reply.has_value());
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
+// The response that followed an interim one was read as the response to the
+// next request on the connection.
+TEST(AsyncHttpClientTest, EachRequestGetsItsOwnResponseAfterAnInterimOne) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(
+      io, {boost::asio::ip::address_v4::loopback(), 0});
+  std::promise<void> interim_read;
+  std::thread server([&] {
+    boost::asio::ip::tcp::socket socket(io);
+    acceptor.accept(socket);
+    boost::asio::streambuf requests;
+    boost::asio::read_until(socket, requests, "\r\n\r\n");
+    Write(socket.native_handle(), "HTTP/1.1 102 Processing\r\n\r\n");
+    interim_read.get_future().wait();
+    Write(socket.native_handle(),
+          "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+    std::string rest(1024, ' ');
+    if (read(socket.native_handle(), rest.data(), rest.size()) <= 0) return;
+    Write(socket.native_handle(),
+          "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+  });
+  boost::asio::io_context client_io;
+  std::vector<std::string> bodies;
+  {
+    AsyncHttpClient client(
+        &client_io,
+        {.host = "127.0.0.1", .port = acceptor.local_endpoint().port()});
+    const AsyncHttpClient::Request request{
+        .method = "GET", .target = "/", .timeout = absl::Seconds(20)};
+    const auto record = [&](const std::optional<HttpResponse>& reply) {
+      bodies.push_back(reply.has_value() ? reply->body : "none");
+    };
+    client.Start(request, [&](const std::optional<HttpResponse>& reply) {
+      record(reply);
+      client.Start(request, record);
+    });
+    // Once for the connection, the request, and the interim response.
+    for (int n = 0; n < 3; ++n) client_io.run_one();
+    interim_read.set_value();
+    client_io.run();
+  }
+  server.join();
+  EXPECT_EQ(bodies, (std::vector<std::string>{"first", "second"}));
+}
+
 }  // namespace
 }  // namespace wisteriareel
