Check the responses that cpp-httplib reads with the same parser

What happened: wisteriareeld reads targets, the platform's services and target orders through cpp-httplib, which takes as complete: statuses 000 to 099 and 600 to 999, a head whose lines have a blank, a control byte or nothing as a name, or no colon at all, lengths that contradict each other or aren't numbers, other transfer codings, some malformed chunks, and a 1xx as the final response. The platform's client then took every status below 300 for a success, and an order of a target for accepted. Cause: each reader of responses had its own idea of a sound one. Change: CheckedResponseStream stands between cpp-httplib and the connection and hands all that is read to ResponseParser. A read fails once the response is malformed, before the head reaches the caller; an exchange is complete only if what cpp-httplib read is exactly one response for the parser too. All clients of the core, the load tool included, go through ClientConnections, where this is done.

--- a/src/http/client_connections.cc
+++ b/src/http/client_connections.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "src/http/checked_response_stream.h"
 #include "wisteriareel/clock.h"
 
 namespace wisteriareel {
@@ -38,6 +39,7 @@
   ClientOutcome Exchange(const ClientLimits& limits, httplib::Request* request,
                          httplib::Response* response) override {
     limits_ = limits;
+    head_only_ = request->method == "HEAD";
     outcome_ = {};
     outcome_.reused = is_open();
     const absl::Duration left = limits.deadline - SystemClock()->Now();
@@ -71,7 +73,8 @@
                           .cancelled = limits_.cancelled});
     stream.LimitReads(
         {.deadline = limits_.deadline, .idle_timeout = limits_.idle_timeout});
-    const bool ok = callback(stream);
+    CheckedResponseStream checked(&stream, head_only_);
+    const bool ok = callback(checked) && checked.is_complete();
     outcome_.failure = stream.failure();
     outcome_.bytes_sent = stream.bytes_written();
     outcome_.has_trailing_bytes = stream.HasUnreadBytes();
@@ -79,6 +82,7 @@
   }
 
   ClientLimits limits_;
+  bool head_only_ = false;
   ClientOutcome outcome_;
 };
 
--- a/test/edge_tests.cmake
+++ b/test/edge_tests.cmake
@@ -2,6 +2,7 @@
 wisteriareel_test(platform_http_test THREADED LIBRARIES wisteriareel_standins)
 wisteriareel_test(http_target_client_test THREADED
   LIBRARIES wisteriareel_standins)
+wisteriareel_test(http_broken_response_test LIBRARIES wisteriareel_platform)
 wisteriareel_test(http_caller_server_test THREADED
   LIBRARIES wisteriareel_http wisteriareel_config)
 wisteriareel_test(http_caller_hostility_test THREADED
