--- a/test/router_broken_response_test.cc
+++ b/test/router_broken_response_test.cc
@@ -24,6 +24,9 @@
 using ::testing::Values;
 using ::testing::ValuesIn;
 
+// Larger than what the buffers of a loopback connection hold.
+constexpr std::size_t kUploadBytes = 24 << 20;
+
 const std::string kIdAndSeal =
     "Wisteriareel-Request-Id: q1\r\nWisteriareel-Response-Seal: s\r\n";
 
@@ -298,8 +301,6 @@
 // The target responds before it has read the upload, sends a part of the body
 // and resets the connection. Callers got that part as the complete body.
 TEST_P(EarlyResponseTest, AResetDuringTheUploadIsNotTheEndOfTheBody) {
-  // Larger than what the buffers of a loopback connection hold.
-  constexpr std::size_t kUploadBytes = 24 << 20;
   const auto& [kind, with_linger] = GetParam();
   ScriptedTarget target([with_linger = with_linger](int fd) {
     ScriptedTarget::ReadHead(fd);
--- a/test/router_hostile_target_test.cc
+++ b/test/router_hostile_target_test.cc
@@ -202,6 +202,17 @@
   EXPECT_LT(sent, kMaxEndlessBytes);
 }
 
+// No line is long, and the parser keeps all fields.
+TEST_F(HostileTargetTest, EndlessFieldsCloseTheConnection) {
+  std::atomic<std::size_t> sent = 0;
+  std::string more;
+  for (int n = 0; n < 500; ++n) absl::StrAppend(&more, "X-", n, ": x\r\n");
+  const std::string response = ServeEndlessly("HTTP/1.1 200 OK\r\n", more,
+                                              RouteKind::kNonIdempotent, &sent);
+  EXPECT_THAT(response, HasSubstr("HTTP/1.1 502"));
+  EXPECT_LT(sent, kMaxEndlessBytes);
+}
+
 TEST_F(HostileTargetTest, AnEndlessChunkExtensionClosesTheConnection) {
   std::atomic<std::size_t> sent = 0;
   const std::string response = ServeEndlessly(
