Don't end the process if a peer's response has a field of another type

What would happen: another instance answers the request for its configuration with a fresh field that isn't a boolean, for instance one of another version or one in trouble. The decoder threw within the event loop, and the process ended with all its requests. Cause: json::value checks the type of the field it finds and throws; the response was parsed without exceptions otherwise. Evidence: PeerConfigFetcherTest in router_components_test, 20 bodies: 4 threw on the code before (fresh as text, number, null, list). The other 16 changed nothing already. Change: anything but true means that the peer's configuration isn't confirmed.

--- a/src/router/peer_config_fetcher.cc
+++ b/src/router/peer_config_fetcher.cc
@@ -72,7 +72,11 @@
   if (response.contains("config") && response["config"].is_string()) {
     config_->ApplyPeerConfig(response["config"].get<std::string>());
   }
-  if (router_->table() == nullptr || !response.value("fresh", false)) return;
+  const auto fresh = response.find("fresh");
+  if (router_->table() == nullptr || fresh == response.end() ||
+      *fresh != true) {
+    return;
+  }
   const Revision theirs(response["revision"].get<std::uint64_t>());
   if (theirs == router_->table()->config().revision) {
     router_->Confirm(scheduler_->Now());
--- a/test/router_components_test.cc
+++ b/test/router_components_test.cc
@@ -8,13 +8,17 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "boost/asio/io_context.hpp"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
 #include "src/router/instance_registry.h"
+#include "src/router/peer_config_fetcher.h"
 #include "src/router/route_config_poller.h"
 #include "src/router/router_settings.h"
 #include "src/router/target_list_poller.h"
 #include "test/manual_scheduler.h"
+#include "test/scripted_target.h"
+#include "wisteriareel/random_source.h"
 
 namespace wisteriareel {
 namespace {
@@ -135,6 +139,50 @@
   EXPECT_FALSE(router_.IsStale(scheduler_.Now()));
 }
 
+class PeerConfigFetcherTest
+    : public RouteConfigPollerTest,
+      public ::testing::WithParamInterface<std::string> {};
+
+// A peer's response of another form threw in the event loop, which ended the
+// process.
+TEST_P(PeerConfigFetcherTest, AMalformedResponseChangesNothing) {
+  CompleteRead(5, 100);
+  scheduler_.Advance(absl::Seconds(5));
+  ASSERT_TRUE(router_.IsStale(scheduler_.Now()));
+  const ScriptedTarget peer([](int fd) {
+    ScriptedTarget::ReadHead(fd);
+    ScriptedTarget::Write(
+        fd, absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                         GetParam().size(), "\r\n\r\n", GetParam()));
+  });
+  boost::asio::io_context io;
+  const auto random = MakeSeededRandom(1);
+  PeerConfigFetcher fetcher(
+      {}, &io, &scheduler_, random.get(), &router_, &poller_,
+      [] { return true; },
+      [&] {
+        return std::vector<Endpoint>{
+            {.host = "127.0.0.1", .port = peer.port()}};
+      });
+  fetcher.Start();
+  EXPECT_NO_THROW(io.run());
+  EXPECT_EQ(Revision(), 5U);
+  EXPECT_TRUE(router_.IsStale(scheduler_.Now()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, PeerConfigFetcherTest,
+    ::testing::Values(
+        "", "no JSON", "{", "[]", "5", "null", "{}", R"({"revision":5})",
+        R"({"fresh":true})", R"({"fresh":"yes","revision":5})",
+        R"({"fresh":1,"revision":5})", R"({"fresh":null,"revision":5})",
+        R"({"fresh":[],"revision":5})", R"({"fresh":true,"revision":"5"})",
+        R"({"fresh":true,"revision":-5})", R"({"fresh":true,"revision":5.0})",
+        R"({"fresh":true,"revision":18446744073709551616})",
+        R"({"fresh":false,"revision":7,"config":7})",
+        R"({"fresh":false,"revision":7,"config":""})",
+        std::string(100000, '[')));
+
 TEST(TargetListPollerTest, ListingContinuesAfterFailures) {
   ManualScheduler scheduler;
   ScriptedSource source;
