--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -35,7 +35,7 @@
 
 // Parses `text` in pieces of each size and expects the same result.
 std::optional<std::string> ParseInPieces(const std::string& text) {
-  const std::optional<std::string> whole = Parse(text, text.size());
+  std::optional<std::string> whole = Parse(text, text.size());
   for (std::size_t piece = 1; piece < text.size(); ++piece) {
     EXPECT_EQ(Parse(text, piece), whole) << text << " by " << piece;
   }
