Test a reset during the upload in wisteriareeld, which was handled already

An early 200 without a length, reset while the upload is written, with SO_LINGER and with the upload left unread: the target's response isn't complete, with may_have_run, and the platform's reply is unknown. No product code changes.

--- a/test/http_broken_response_test.cc
+++ b/test/http_broken_response_test.cc
@@ -128,5 +128,39 @@
 INSTANTIATE_TEST_SUITE_P(AllResponses, BrokenResponseTest,
                          ::testing::ValuesIn(BrokenResponses()));
 
+// The server responds before it has read the upload, sends a part of a body
+// without a length, and resets the connection.
+TEST(EarlyResponseTest, AResetDuringTheUploadIsNotTheEndOfTheBody) {
+  // Larger than what the buffers of a loopback connection hold.
+  const std::string upload(24 << 20, 'x');
+  for (const bool with_linger : {false, true}) {
+    const ScriptedTarget server([with_linger](int fd) {
+      ScriptedTarget::ReadHead(fd);
+      ScriptedTarget::Write(fd, absl::StrCat(kOkLine, "\r\n", kBody));
+      // Unread bytes make the close a reset.
+      if (!with_linger) return;
+      const linger now{.l_onoff = 1, .l_linger = 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    });
+    const Endpoint endpoint{.host = "127.0.0.1", .port = server.port()};
+    HttpTargetClient client{HttpTargetClientOptions()};
+    TextSink sink;
+    const std::atomic<bool> never{false};
+    const TargetOutcome outcome = client.Send({.request = RequestId("r1"),
+                                               .endpoint = endpoint,
+                                               .path = "/",
+                                               .body = upload,
+                                               .connect_timeout = kTimeout,
+                                               .progress_timeout = kTimeout},
+                                              &sink, never);
+    EXPECT_FALSE(outcome.complete);
+    EXPECT_EQ(outcome.verdict, Verdict::kMayHaveRun);
+    PlatformClient platform({.endpoint = endpoint});
+    EXPECT_EQ(
+        platform.Call("PUT", "/", upload, "text/plain", kTimeout).call_outcome,
+        PlatformReply::CallOutcome::kUnknown);
+  }
+}
+
 }  // namespace
 }  // namespace wisteriareel
