Test crowds of callers that don't behave against a router process

Callers outside the operators' control ended a process: it ran out of memory.

The tests start a router process, a store and a target on loopback, with a body limit of 1 MiB and 400 descriptors, and run crowds of 100 to 600 callers against each listener. They check that the process lives, that its resident memory and what the kernel queues for its connections stay under the 88 MB of the smallest machine, that at most 300 descriptors are open, and that an ordinary request is answered beside the crowd and after it. Timeouts are long, so that they don't end a connection of a crowd. The same crowds beside SIGTERM check that the process ends.

--- a/test/soak/router_process.cc
+++ b/test/soak/router_process.cc
@@ -81,6 +81,11 @@
   pid_ = fork();
   if (pid_ != 0) return pid_ > 0;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (options_.max_descriptors > 0) {
+    const rlimit limit{.rlim_cur = options_.max_descriptors,
+                       .rlim_max = options_.max_descriptors};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
   dup2(log_writer_.get(), STDOUT_FILENO);
   dup2(log_writer_.get(), STDERR_FILENO);
   execl(options_.program.c_str(), options_.program.c_str(), settings.c_str(),
--- a/test/soak/router_process.h
+++ b/test/soak/router_process.h
@@ -1,6 +1,7 @@
 #ifndef WISTERIAREEL_TEST_SOAK_ROUTER_PROCESS_H_
 #define WISTERIAREEL_TEST_SOAK_ROUTER_PROCESS_H_
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <atomic>
@@ -24,6 +25,8 @@
   // Peer ports of all instances.
   std::vector<std::uint16_t> peer_ports;
   std::uint16_t peer_port = 0;
+  // Limit on open descriptors; 0 for that of the starting process.
+  rlim_t max_descriptors = 0;
 };
 
 // One instance of the router: a process with the same ports over restarts. Its
@@ -50,6 +53,9 @@
   void PauseLogReader(absl::Time until);
 
   std::uint16_t callers_port() const { return callers_port_; }
+  std::uint16_t ready_port() const { return ready_port_; }
+  // Returns zero if the process doesn't run.
+  pid_t pid() const { return pid_; }
 
  private:
   bool WriteSettings() const;
