--- a/src/router/router_settings.cc
+++ b/src/router/router_settings.cc
@@ -39,6 +39,13 @@
   out->window = absl::Seconds(window_s);
 }
 
+void ReadMachine(ObjectReader* reader, RouterMachineSettings* out) {
+  reader->Optional("memory_mb", Number{16, 1e6}, &out->memory_mb);
+  double descriptors = out->max_descriptors;
+  reader->Optional("max_descriptors", Number{64, 1e7}, &descriptors);
+  out->max_descriptors = static_cast<int>(descriptors);
+}
+
 void ReadSeed(ObjectReader* reader, Seed* out) {
   reader->Required("address", HostAndPort{}, &out->address);
 }
@@ -56,6 +63,7 @@
   reader->Optional("shutdown_grace_s", kSeconds, &grace_s);
   out->shutdown_grace = absl::Seconds(grace_s);
   reader->Optional("link_mbps", Number{0, 1e6}, &out->link_mbps);
+  reader->OptionalObject("machine", &out->machine, ReadMachine);
   reader->Optional("log_least", severity, &out->min_severity);
   std::vector<Seed> seeds;
   reader->OptionalList("seeds", &seeds, ReadSeed);
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -43,6 +43,16 @@
   friend bool operator==(const RetrySettings&, const RetrySettings&) = default;
 };
 
+// What the machine gives to the process.
+struct RouterMachineSettings {
+  double memory_mb = 256;
+  // The process's own limit applies if it is lower.
+  int max_descriptors = 4096;
+
+  friend bool operator==(const RouterMachineSettings&,
+                         const RouterMachineSettings&) = default;
+};
+
 struct RouterSettings {
   RouterInstanceSettings instance;
   RouterListenSettings listen;
@@ -56,6 +66,7 @@
   // Capacity of the instance's network link in each direction, in Mbit/s.
   // 0 if unknown.
   double link_mbps = 0;
+  RouterMachineSettings machine;
   Severity min_severity = Severity::kInfo;
 
   friend bool operator==(const RouterSettings&,
--- a/test/router_components_test.cc
+++ b/test/router_components_test.cc
@@ -460,6 +460,7 @@
     "seeds": [{"address": "10.1.0.40:8229" },{"address": "10.2.0.29:8229" }],
     "repeats": {"ratio": 0.2, "slack": 56, "window_s": 10},
     "link_mbps": 10.0,
+    "machine": {"memory_mb": 88, "max_descriptors": 4100},
     "shutdown_grace_s": 8.5
   })",
                                             &problems);
@@ -468,6 +469,21 @@
   EXPECT_EQ(settings->seeds.size(), 2U);
   EXPECT_EQ(settings->shutdown_grace, absl::Milliseconds(8500));
   EXPECT_EQ(settings->retry.slack, 56);
+  EXPECT_EQ(settings->machine,
+            (RouterMachineSettings{.memory_mb = 88, .max_descriptors = 4100}));
+}
+
+TEST(RouterSettingsTest, AMachineThatIsTooSmallIsRejected) {
+  std::vector<SettingsProblem> problems;
+  EXPECT_EQ(ParseRouterSettings(R"({
+    "instance": {"id": "front-a-1", "zone": "a"},
+    "listen": {"callers": "10.1.0.40:8227", "ready": "10.1.0.40:8220",
+               "peers": "10.1.0.40:8229"},
+    "table": "10.200.1.7:8223",
+    "machine": {"memory_mb": 0, "max_descriptors": 10}})",
+                                &problems),
+            std::nullopt);
+  EXPECT_EQ(problems.size(), 2U);
 }
 
 TEST(RouterSettingsTest, AllProblemsAreListed) {
