Bound the memory and descriptors of callers' connections over all of them

What callers saw: crowds of callers that send bodies, heads, extensions or trailers without an end, or leave responses unread, end a process by its memory; silent connections take all descriptors, so that nobody is answered.

Cause: limits per connection add up. A body grew by doubling in one string; a stated length was reserved at once; up to 256 KiB of a response and up to 4 MiB of the kernel's send buffer waited for each caller that doesn't read; each connection held a read buffer of 16 KiB while it was idle; and nothing left descriptors to targets and the store.

All that is kept for a caller, by the process and as unacknowledged bytes by the kernel, is counted by ConnectionLimiter. A request that is read and must give way is refused with 503, Retry-After and "not run", which is true since it was never sent; a response that isn't read is cut off by a reset. Beyond the limits for memory or requests in progress, new requests are refused at once. Bodies grow by pieces of 16 KiB, and are joined when they are whole. Connections wait for bytes without a buffer. The kernel keeps at most 32 KiB received and 64 KiB sent. Freed blocks of 128 KiB and more return to the system.

The test's settings state the machine's 88 MB; crowds and bounds are as they were.

--- a/daemons/wisteriareel_router.cc
+++ b/daemons/wisteriareel_router.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdio>
 #include <optional>
@@ -37,6 +39,11 @@
 3 invalid settings.
 )";
 
+// Blocks of this size are returned to the system when they are freed, however
+// large the ones before were.
+constexpr int kMinMappedBlockBytes = 128 << 10;
+constexpr int kMaxFreeHeapBytes = 1 << 20;
+
 constexpr int kExitClean = 0;
 constexpr int kExitCannotListen = 1;
 constexpr int kExitSettings = 3;
@@ -90,6 +97,8 @@
 
 int Run(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kMaxFreeHeapBytes);
   int exit_code = 0;
   const auto arguments =
       ParseCommandLine(kUsage, "wisteriareel-router " WISTERIAREEL_VERSION,
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -43,6 +43,7 @@
   kRequestRefused = 1308,
   kAttemptBroken = 1309,
   kPromptQuarantined = 1310,
+  kConnectionGivenUp = 1311,
 
   // 1400-1499 routing.
   kTargetEjected = 1400,
--- a/include/wisteriareel/reason.h
+++ b/include/wisteriareel/reason.h
@@ -82,6 +82,7 @@
   kConnectionLimit = 802,
   kPeerVersionUnsupported = 803,
   kPeerFrameMalformed = 804,
+  kConnectionMemoryFull = 805,
   kPeerSecretWrong = 830,
   kPeerWrongInstance = 831,
   kPeerSilent = 832,
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -119,6 +119,8 @@
       return "peer_version_unsupported";
     case Reason::kPeerFrameMalformed:
       return "peer_frame_malformed";
+    case Reason::kConnectionMemoryFull:
+      return "connection_memory_full";
     case Reason::kPeerSecretWrong:
       return "peer_secret_wrong";
     case Reason::kPeerWrongInstance:
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -10,6 +10,7 @@
 
 #include "absl/time/time.h"
 #include "src/forward/caller_response.h"
+#include "src/forward/connection_limiter.h"
 #include "src/forward/event_splitter.h"
 #include "src/forward/limited_return_schedule.h"
 #include "src/forward/overload_guard.h"
@@ -105,6 +106,8 @@
   PromptQuarantine* quarantine = nullptr;
   // Null if callers that rate limits refuse all wait for the same time.
   LimitedReturnSchedule* limited_returns = nullptr;
+  // Null if the memory for responses isn't limited.
+  const ConnectionLimiter* limiter = nullptr;
   EventLog* log = nullptr;
   Counters* counters = nullptr;
 };
@@ -170,6 +173,8 @@
 
   bool done() const { return phase_ == Phase::kDone; }
   const ExchangeRequest& request() const { return request_; }
+  // Bytes of the response that are kept until it is complete.
+  std::size_t buffered_bytes() const { return buffered_body_.capacity(); }
   bool waits_for_tokens() const { return phase_ == Phase::kReservingTokens; }
 
  private:
--- a/src/forward/exchange_response.cc
+++ b/src/forward/exchange_response.cc
@@ -96,7 +96,9 @@
     return;
   }
   buffered_body_.append(bytes);
-  if (buffered_body_.size() <= kMaxBufferedBodyBytes) return;
+  const bool has_memory =
+      services_.limiter == nullptr || !services_.limiter->IsNearlyFull();
+  if (has_memory && buffered_body_.size() <= kMaxBufferedBodyBytes) return;
   response_.SendBody(std::exchange(buffered_body_, {}));
 }
 
--- a/src/router/router_daemon.cc
+++ b/src/router/router_daemon.cc
@@ -1,5 +1,7 @@
 #include "src/router/router_daemon.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -21,8 +23,22 @@
 // Time between two checks of the progress of the exit.
 constexpr absl::Duration kExitTick = absl::Milliseconds(10);
 constexpr double kBytesPerMbit = 1e6 / 8;
+constexpr double kBytesPerMegabyte = 1e6;
 constexpr char kMetricsPath[] = "/metrics";
 
+// Returns what the settings state, less where the kernel's limit for the
+// process is lower.
+MachineLimits ReadMachineLimits(const RouterMachineSettings& settings) {
+  auto descriptors = static_cast<std::size_t>(settings.max_descriptors);
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    descriptors = std::min<std::size_t>(descriptors, limit.rlim_cur);
+  }
+  return {.memory_bytes =
+              static_cast<std::size_t>(settings.memory_mb * kBytesPerMegabyte),
+          .descriptors = descriptors};
+}
+
 }  // namespace
 
 RouterDaemon::RouterDaemon(RouterSettings settings,
@@ -60,6 +76,8 @@
       router_({}),
       target_connections_(SystemClock()),
       overload_({.link_bytes_per_s = settings_.link_mbps * kBytesPerMbit}),
+      connection_shares_(DivideMachine(ReadMachineLimits(settings_.machine))),
+      connection_limiter_(connection_shares_.callers),
       load_probe_(platform.loads, &target_pool_, SystemClock()),
       quarantine_sync_({.self = settings_.instance.id},
                        {.quarantine = &quarantine_,
@@ -77,6 +95,7 @@
                             .target_connections = &target_connections_,
                             .load_probe = &load_probe_,
                             .overload = &overload_,
+                            .limiter = &connection_limiter_,
                             .random = random_.get(),
                             .exchange = {.pool = &target_pool_,
                                          .retry_limiter = &retry_limiter_,
@@ -84,6 +103,7 @@
                                          .ledger = tokens_.ledger(),
                                          .quarantine = &quarantine_,
                                          .limited_returns = &limited_returns_,
+                                         .limiter = &connection_limiter_,
                                          .log = log,
                                          .counters = &counters_},
                             .owner = this}),
@@ -101,11 +121,16 @@
           },
           [this] { return tokens_.Peers(); }),
       ready_server_(
-          io, [this](const std::string&, const std::string&,
-                     const std::string&) { return HandleReadyRequest(); }),
+          io,
+          [this](const std::string&, const std::string&, const std::string&) {
+            return HandleReadyRequest();
+          },
+          connection_shares_.ready),
       peer_server_(
-          io, [this](const std::string&, const std::string& target,
-                     const std::string&) { return HandlePeerRequest(target); }),
+          io,
+          [this](const std::string&, const std::string& target,
+                 const std::string&) { return HandlePeerRequest(target); },
+          connection_shares_.peers),
       acceptor_(*io),
       signals_(*io, SIGTERM, SIGINT, SIGHUP),
       shutdown_({.grace = settings_.shutdown_grace}) {}
@@ -156,6 +181,7 @@
       caller_dependencies_, std::move(socket));
   connections_.insert(connection);
   connection->Start();
+  connection_limiter_.GiveUpExcess(scheduler_.Now());
 }
 
 void RouterDaemon::WaitForSignal() {
--- a/src/router/router_daemon.h
+++ b/src/router/router_daemon.h
@@ -11,6 +11,8 @@
 #include "boost/asio/io_context.hpp"
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/asio/signal_set.hpp"
+#include "src/forward/connection_limiter.h"
+#include "src/forward/connection_shares.h"
 #include "src/forward/limited_return_schedule.h"
 #include "src/forward/prompt_quarantine.h"
 #include "src/forward/request_router.h"
@@ -120,6 +122,8 @@
   RequestRouter router_;
   TargetConnectionPool target_connections_;
   OverloadGuard overload_;
+  const ConnectionShares connection_shares_;
+  ConnectionLimiter connection_limiter_;
   LoadProbe load_probe_;
   PromptQuarantine quarantine_;
   QuarantineSync quarantine_sync_;
--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -1,6 +1,7 @@
 #include "src/runtime/caller_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <variant>
 
@@ -8,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "boost/asio/buffer.hpp"
 #include "boost/asio/write.hpp"
+#include "src/forward/connection_shares.h"
 #include "src/runtime/socket_options.h"
 #include "wisteriareel/stable_hash.h"
 
@@ -23,7 +25,15 @@
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
 // Reading from the target pauses while more than this many bytes wait to be
 // written to the caller.
-constexpr std::size_t kMaxOutgoingBytes = 256 << 10;
+constexpr std::size_t kMaxOutgoingBytes = 64 << 10;
+// Bytes read from a caller at once.
+constexpr std::size_t kReadBytes = 16 << 10;
+// A head is kept as bytes, as parsed fields, and as sent to the target.
+constexpr std::size_t kHeadCopies = 3;
+// Buffers of a request that was sent to a target.
+constexpr std::size_t kAttemptBytes = 24 << 10;
+// A timer that runs later shows that the process stood still.
+constexpr absl::Duration kMaxTimerDelay = absl::Milliseconds(250);
 // Longer bodies are told apart by their beginning and their size.
 constexpr std::size_t kMaxDigestedBytes = 64 << 10;
 // A caller that acknowledges no data for this long counts as disconnected.
@@ -74,6 +84,9 @@
 
 void CallerConnection::Start() {
   EnablePeerTimeout(&socket_, kPeerTimeout);
+  error_code ignored;
+  socket_.non_blocking(true, ignored);
+  dependencies_.limiter->Add(this, dependencies_.clock->Now());
   ResetParser();
   Read();
 }
@@ -88,21 +101,36 @@
   parser_->header_limit(limits.max_header_bytes);
   parser_->body_limit(limits.max_body_bytes);
   reading_request_ = false;
+  head_checked_ = false;
+  discards_body_ = false;
+  head_bytes_ = 0;
   ArmIdleTimer(limits.idle_timeout + kIdleMargin);
 }
 
+// Waits without a buffer, so that an idle connection holds none.
 void CallerConnection::Read() {
   if (reading_ || closed_ || buffer_.size() > kMaxPipelinedBytes) return;
   reading_ = true;
-  socket_.async_read_some(
-      asio::buffer(incoming_),
-      [self = shared_from_this()](error_code ec, std::size_t n) {
-        self->reading_ = false;
-        if (!self->closed_) self->OnRead(ec, n);
-      });
-}
-
-void CallerConnection::OnRead(const error_code& ec, std::size_t n) {
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code ec) {
+                       self->reading_ = false;
+                       if (self->closed_) return;
+                       if (ec) {
+                         self->Close();
+                         return;
+                       }
+                       self->OnReadable();
+                     });
+}
+
+void CallerConnection::OnReadable() {
+  std::array<char, kReadBytes> incoming;
+  error_code ec;
+  const std::size_t n = socket_.read_some(asio::buffer(incoming), ec);
+  if (ec == asio::error::would_block || ec == asio::error::try_again) {
+    Read();
+    return;
+  }
   if (ec) {
     Close();
     return;
@@ -110,11 +138,24 @@
   // Unread bytes would make the close a reset.
   if (!close_when_written_) {
     buffer_.commit(
-        asio::buffer_copy(buffer_.prepare(n), asio::buffer(incoming_, n)));
+        asio::buffer_copy(buffer_.prepare(n), asio::buffer(incoming, n)));
   }
   dependencies_.overload->RecordTraffic(n, 0, dependencies_.clock->Now());
   if (exchange_ == nullptr && !last_request_) Parse();
   Read();
+  ApplyLimits(close_when_written_ ? 0 : n);
+}
+
+std::size_t CallerConnection::PutToParser(error_code* ec) {
+  const bool in_head = !parser_->is_header_done();
+  const std::size_t n = parser_->put(buffer_.data(), *ec);
+  buffer_.consume(n);
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
+  if (in_head) {
+    head_bytes_ += n - std::min(n, parser_->get().body().size());
+    body_began_ = dependencies_.clock->Now();
+  }
+  return n;
 }
 
 void CallerConnection::Parse() {
@@ -128,29 +169,57 @@
               : dependencies_.router->table()->config().limits.header_timeout);
     }
     error_code ec;
-    const std::size_t used = parser_->put(buffer_.data(), ec);
-    buffer_.consume(used);
+    const std::size_t used = PutToParser(&ec);
     if (parser_->is_header_done() && !FramingIsSafe(parser_->get().base())) {
       Reject(400, Reason::kMalformed);
       return;
     }
-    if (ec == http::error::need_more) {
-      // Any progress of a long body restarts the timeout.
-      if (parser_->is_header_done()) {
-        ArmIdleTimer(CallerLimits().header_timeout);
-      }
-      return;
-    }
-    if (ec) {
+    if (ec && ec != http::error::need_more) {
       RejectParse(ec);
       return;
     }
     if (parser_->is_done()) {
-      HandleRequest();
-    } else if (used == 0) {
-      return;
+      if (discards_body_) {
+        EndDiscardedBody();
+      } else {
+        HandleRequest();
+      }
+      continue;
+    }
+    if (parser_->is_header_done()) {
+      ArmIdleTimer(CallerLimits().header_timeout);
     }
+    if (ec || used == 0) return;
+  }
+}
+
+void CallerConnection::RefuseByHead() {
+  if (std::exchange(head_checked_, true)) return;
+  const RequestHead& head = parser_->get().base();
+  head_only_ = head.method() == http::verb::head;
+  LastReason reason;
+  const std::optional<RequestInfo> info =
+      dependencies_.codec->DecodeRequest(head, &reason);
+  if (!info.has_value()) {
+    Reject(400, reason.reason());
+    return;
   }
+  const auto admitted =
+      dependencies_.router->Admit(*info, dependencies_.clock->Now());
+  const Refusal* refusal = std::get_if<Refusal>(&admitted);
+  if (refusal == nullptr) return;
+  request_id_ = info->id;
+  last_request_ = !parser_->get().keep_alive();
+  discards_body_ = true;
+  parser_->get().body().Discard();
+  RecordRefusal(*refusal, "request not admitted");
+  Refuse(*refusal);
+  if (last_request_) CloseWhenWritten();
+}
+
+void CallerConnection::EndDiscardedBody() {
+  has_served_ = true;
+  ResetParser();
 }
 
 void CallerConnection::RejectParse(const error_code& ec) {
@@ -164,25 +233,35 @@
 }
 
 void CallerConnection::Reject(int status, Reason reason) {
+  if (discards_body_) {
+    // The caller has its answer.
+    CloseWhenWritten();
+    return;
+  }
   last_request_ = true;
   request_id_ = RequestId();
-  dependencies_.exchange.counters->Refused(reason);
-  dependencies_.exchange.log->Write(
-      EventId::kRequestRefused, Severity::kInfo,
-      "rejected the request while reading it",
-      {{"status", absl::StrCat(status)},
-       {"reason", std::string(ReasonName(reason))}});
-  Refuse({.status = status, .reason = reason});
+  const Refusal refusal{.status = status, .reason = reason};
+  RecordRefusal(refusal, "rejected the request while reading it");
+  Refuse(refusal);
   EndRequest();
 }
 
+void CallerConnection::RecordRefusal(const Refusal& refusal,
+                                     std::string_view text) {
+  dependencies_.exchange.counters->Refused(refusal.reason);
+  dependencies_.exchange.log->Write(
+      EventId::kRequestRefused, Severity::kInfo, text,
+      {{"request", request_id_.value()},
+       {"status", absl::StrCat(refusal.status)},
+       {"reason", std::string(ReasonName(refusal.reason))}});
+}
+
 void CallerConnection::HandleRequest() {
   auto message = parser_->release();
   parser_.reset();
   last_request_ = !message.keep_alive();
   head_only_ = message.method() == http::verb::head;
-  request_body_ =
-      std::make_shared<const std::string>(std::move(message.body()));
+  request_body_ = std::make_shared<const std::string>(message.body().Take());
   request_head_ = std::move(message.base());
   reading_request_ = false;
   response_head_.reset();
@@ -195,16 +274,15 @@
     return;
   }
   request_id_ = info->id;
+  if (unacknowledged_bytes_ > 0) {
+    unacknowledged_bytes_ =
+        static_cast<std::size_t>(CountUnacknowledgedBytes(socket_));
+  }
   const absl::Time now = dependencies_.clock->Now();
-  if (ShedRequest(now)) return;
+  if (RefuseBeyondLimits() || ShedRequest(now)) return;
   auto admitted = dependencies_.router->Admit(*info, now);
   if (const Refusal* refusal = std::get_if<Refusal>(&admitted)) {
-    dependencies_.exchange.counters->Refused(refusal->reason);
-    dependencies_.exchange.log->Write(
-        EventId::kRequestRefused, Severity::kInfo, "request not admitted",
-        {{"request", request_id_.value()},
-         {"status", absl::StrCat(refusal->status)},
-         {"reason", std::string(ReasonName(refusal->reason))}});
+    RecordRefusal(*refusal, "request not admitted");
     Refuse(*refusal);
     EndRequest();
     return;
@@ -226,11 +304,32 @@
   exchange_ =
       std::make_unique<Exchange>(std::move(request), dependencies_.exchange,
                                  static_cast<ExchangeDelegate*>(this));
+  RecordUsage(0);
   exchange_->Start(now);
   if (exchange_->waits_for_tokens()) dependencies_.owner->OnWaitingForTokens();
   if (exchange_->done()) EndRequest();
 }
 
+bool CallerConnection::RefuseBeyondLimits() {
+  const absl::Time now = dependencies_.clock->Now();
+  RecordUsage(0);
+  if (dependencies_.limiter->IsServedFull()) {
+    RefuseAndClose(Reason::kConnectionLimit,
+                   "refused the request: no descriptor is left for a target");
+    return true;
+  }
+  while (dependencies_.limiter->ExceedsBytes(this)) {
+    LimitedConnection* connection = dependencies_.limiter->FindExcess(now);
+    if (connection == nullptr || connection == this) {
+      RefuseAndClose(Reason::kConnectionMemoryFull,
+                     "refused the request: the memory for connections is full");
+      return true;
+    }
+    connection->GiveUp();
+  }
+  return false;
+}
+
 bool CallerConnection::ShedRequest(absl::Time now) {
   if (!dependencies_.owner->AcceptsRequests()) {
     RefuseAndClose(Reason::kDraining,
@@ -250,13 +349,10 @@
   // Closing makes the caller reconnect; the balancer then picks another
   // instance.
   last_request_ = true;
-  dependencies_.exchange.counters->Refused(reason);
-  dependencies_.exchange.log->Write(
-      EventId::kRequestRefused, Severity::kInfo, text,
-      {{"request", request_id_.value()},
-       {"status", "503"},
-       {"reason", std::string(ReasonName(reason))}});
-  Refuse({.status = 503, .reason = reason, .retry_after = kShedRetryAfter});
+  const Refusal refusal{
+      .status = 503, .reason = reason, .retry_after = kShedRetryAfter};
+  RecordRefusal(refusal, text);
+  Refuse(refusal);
   EndRequest();
 }
 
@@ -266,6 +362,7 @@
   if (attempt_ != nullptr) CancelAttempt();
   request_body_.reset();
   if (closed_) return;
+  RecordUsage(0);
   has_served_ = true;
   if (last_request_) {
     CloseWhenWritten();
@@ -285,11 +382,19 @@
   last_request_ = true;
   close_when_written_ = true;
   timer_.Cancel();
-  buffer_.clear();
+  DiscardInput();
   Read();
   if (!writing_) HalfClose();
 }
 
+void CallerConnection::DiscardInput() {
+  buffer_.clear();
+  buffer_.shrink_to_fit();
+  parser_.reset();
+  reading_request_ = false;
+  discards_body_ = false;
+}
+
 void CallerConnection::HalfClose() {
   // A truncated response ends with a reset only.
   if (aborted_) return;
@@ -356,6 +461,10 @@
         [](Exchange* exchange, absl::Time now) { exchange->OnShutdown(now); });
     return;
   }
+  if (discards_body_ && !last_request_) {
+    CloseWhenWritten();
+    return;
+  }
   if (reading_request_ && !last_request_) {
     request_id_ = RequestId();
     RefuseAndClose(Reason::kDraining,
@@ -370,6 +479,7 @@
   closed_ = true;
   const std::shared_ptr<CallerConnection> self = shared_from_this();
   timer_.Cancel();
+  dependencies_.limiter->Remove(this);
   error_code ec;
   socket_.close(ec);
   if (exchange_ != nullptr) {
@@ -465,6 +575,7 @@
 void CallerConnection::SetTimer(absl::Time when) { ArmTimer(when); }
 
 void CallerConnection::ArmTimer(absl::Time when) {
+  timer_due_ = when;
   const absl::Duration remaining = when - dependencies_.clock->Now();
   timer_.Arm(absl::ToChronoMicroseconds(
                  std::clamp(remaining, absl::ZeroDuration(), absl::Hours(1))),
@@ -493,7 +604,14 @@
     return;
   }
   if (reading_request_) {
-    Reject(408, Reason::kDeadlineExceeded);
+    const absl::Time now = dependencies_.clock->Now();
+    if (now - timer_due_ > kMaxTimerDelay) {
+      // This process stood still, so that bytes that arrived in time may not
+      // have been read.
+      ArmTimer(now + CallerLimits().header_timeout);
+    } else {
+      Reject(408, Reason::kDeadlineExceeded);
+    }
     return;
   }
   if (writing_) return;
@@ -528,9 +646,12 @@
       [self = shared_from_this(), batch](error_code ec, std::size_t n) {
         if (self->closed_) return;
         self->outgoing_bytes_ -= n;
+        self->unacknowledged_bytes_ =
+            std::min(self->unacknowledged_bytes_ + n, kSendBufferBytes);
         self->dependencies_.overload->RecordTraffic(
             0, n, self->dependencies_.clock->Now());
         self->OnWritten(ec);
+        self->ApplyLimits(n);
       });
 }
 
@@ -550,6 +671,71 @@
   }
 }
 
+ConnectionUsage CallerConnection::Usage() const {
+  std::size_t bytes =
+      buffer_.capacity() + outgoing_bytes_ + unacknowledged_bytes_;
+  if (parser_.has_value()) bytes += parser_->get().body().memory_bytes();
+  if (request_body_ != nullptr) bytes += request_body_->capacity();
+  if (reading_request_ || exchange_ != nullptr) {
+    bytes += kHeadCopies * head_bytes_;
+  }
+  if (exchange_ != nullptr) bytes += exchange_->buffered_bytes();
+  if (attempt_ != nullptr) bytes += kAttemptBytes;
+  ConnectionPhase phase = ConnectionPhase::kIdle;
+  if (close_when_written_ || last_request_) {
+    phase = ConnectionPhase::kClosing;
+  }
+  if (reading_request_) phase = ConnectionPhase::kReading;
+  if (exchange_ != nullptr) phase = ConnectionPhase::kServing;
+  if (outgoing_bytes_ > 0 && phase != ConnectionPhase::kClosing) {
+    phase = ConnectionPhase::kWriting;
+  }
+  return {.phase = phase, .bytes = bytes, .is_served = exchange_ != nullptr};
+}
+
+void CallerConnection::RecordUsage(std::size_t progress) {
+  if (closed_) return;
+  dependencies_.limiter->Update(this, Usage(), progress,
+                                dependencies_.clock->Now());
+}
+
+void CallerConnection::ApplyLimits(std::size_t progress) {
+  RecordUsage(progress);
+  dependencies_.limiter->GiveUpExcess(dependencies_.clock->Now());
+}
+
+void CallerConnection::GiveUp() {
+  if (closed_) return;
+  // What the caller has acknowledged isn't known until it is asked for.
+  const auto unacknowledged =
+      static_cast<std::size_t>(CountUnacknowledgedBytes(socket_));
+  if (unacknowledged < unacknowledged_bytes_) {
+    unacknowledged_bytes_ = unacknowledged;
+    RecordUsage(0);
+    return;
+  }
+  const std::shared_ptr<CallerConnection> self = shared_from_this();
+  if (reading_request_ && !discards_body_ && !last_request_ &&
+      outgoing_bytes_ == 0) {
+    request_id_ = RequestId();
+    RefuseAndClose(Reason::kConnectionMemoryFull,
+                   "refused the request while reading it: the memory for "
+                   "connections is full");
+    RecordUsage(0);
+    return;
+  }
+  if (HasOutput()) {
+    dependencies_.exchange.log->Write(
+        EventId::kConnectionGivenUp, Severity::kInfo,
+        "closed a connection with a response that its caller doesn't read: the "
+        "memory or the number of connections is at its limit",
+        {{"request", request_id_.value()}});
+    // The caller must not take a truncated response for a complete one.
+    ResetOnClose(&socket_);
+  }
+  Close();
+}
+
 void CallerConnection::OnTargetConnected(absl::Duration taken) {
   dependencies_.overload->RecordConnect(taken, dependencies_.clock->Now());
 }
@@ -574,6 +760,7 @@
   DispatchToExchange([bytes](Exchange* exchange, absl::Time now) {
     exchange->OnBody(bytes, now);
   });
+  ApplyLimits(0);
 }
 
 void CallerConnection::OnTargetResponseEnd() {
--- a/src/runtime/caller_connection.h
+++ b/src/runtime/caller_connection.h
@@ -1,7 +1,6 @@
 #ifndef WISTERIAREEL_SRC_RUNTIME_CALLER_CONNECTION_H_
 #define WISTERIAREEL_SRC_RUNTIME_CALLER_CONNECTION_H_
 
-#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -13,7 +12,7 @@
 #include "boost/asio/ip/tcp.hpp"
 #include "boost/beast/core/flat_buffer.hpp"
 #include "boost/beast/http/parser.hpp"
-#include "boost/beast/http/string_body.hpp"
+#include "src/forward/connection_limiter.h"
 #include "src/forward/exchange.h"
 #include "src/forward/overload_guard.h"
 #include "src/forward/request_router.h"
@@ -22,6 +21,7 @@
 #include "src/runtime/load_probe.h"
 #include "src/runtime/message_codec.h"
 #include "src/runtime/one_shot_timer.h"
+#include "src/runtime/received_body.h"
 #include "src/runtime/target_attempt.h"
 #include "src/runtime/target_connection_pool.h"
 #include "wisteriareel/clock.h"
@@ -60,6 +60,7 @@
   TargetConnectionPool* target_connections = nullptr;
   LoadProbe* load_probe = nullptr;
   OverloadGuard* overload = nullptr;
+  ConnectionLimiter* limiter = nullptr;
   RandomSource* random = nullptr;
   ExchangeServices exchange;
   CallerConnectionOwner* owner = nullptr;
@@ -70,7 +71,8 @@
 // in progress, to detect that the caller disconnected. Not thread-safe.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>,
                          private ExchangeDelegate,
-                         private TargetAttemptObserver {
+                         private TargetAttemptObserver,
+                         private LimitedConnection {
  public:
   CallerConnection(const CallerConnectionDependencies& dependencies,
                    boost::asio::ip::tcp::socket socket);
@@ -108,18 +110,26 @@
   bool IsWaitingForTokensOf(const CustomerId& customer) const;
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
-  static constexpr std::size_t kReadBytes = 16 << 10;
+  using Parser = boost::beast::http::request_parser<ReceivedBodyType>;
 
   void ResetParser();
   void Read();
-  void OnRead(const boost::system::error_code& ec, std::size_t n);
+  void OnReadable();
   void Parse();
+  // Passes unparsed bytes to the parser. Returns the number it consumed.
+  std::size_t PutToParser(boost::system::error_code* ec);
+  // Refuses a request whose head alone shows that it can't be admitted. Its
+  // body isn't kept.
+  void RefuseByHead();
+  // Prepares for the next request after the body of a refused one has ended.
+  void EndDiscardedBody();
   void RejectParse(const boost::system::error_code& ec);
   void Reject(int status, Reason reason);
+  void RecordRefusal(const Refusal& refusal, std::string_view text);
   void HandleRequest();
+  // Returns true if the request was refused because the memory for connections
+  // or the descriptors are in use.
+  bool RefuseBeyondLimits();
   // Returns true if the request was refused so that the caller retries it on
   // another instance.
   bool ShedRequest(absl::Time now);
@@ -130,6 +140,14 @@
   // Tells the caller that nothing follows, and discards what it still sends.
   void HalfClose();
   void Enqueue(std::string bytes);
+  ConnectionUsage Usage() const;
+  // Tells the limiter what this connection uses, and that its peer sent or took
+  // `progress` bytes.
+  void RecordUsage(std::size_t progress);
+  // Like RecordUsage, and gives up connections that are too many.
+  void ApplyLimits(std::size_t progress);
+  // Frees the bytes that were read and not handled.
+  void DiscardInput();
   void WriteNext();
   void OnWritten(const boost::system::error_code& ec);
   void ArmIdleTimer(absl::Duration duration);
@@ -150,6 +168,8 @@
   void AbortResponse() override;
   void SetTimer(absl::Time when) override;
 
+  void GiveUp() override;
+
   void OnTargetConnected(absl::Duration taken) override;
   void OnTargetUnreachable() override;
   void OnTargetResponseHead(const ResponseHead& head) override;
@@ -160,13 +180,19 @@
   const CallerConnectionDependencies dependencies_;
   boost::asio::ip::tcp::socket socket_;
   OneShotTimer timer_;
-  // Belongs to the pending read.
-  std::array<char, kReadBytes> incoming_{};
+  // Time at which the timer is due.
+  absl::Time timer_due_ = absl::InfiniteFuture();
   // Bytes that were read and not parsed yet. No read writes to it.
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   bool reading_ = false;
   bool reading_request_ = false;
+  // The head of the request that is read was checked.
+  bool head_checked_ = false;
+  // The request was refused by its head; its body is discarded.
+  bool discards_body_ = false;
+  std::size_t head_bytes_ = 0;
+  absl::Time body_began_;
   bool closed_ = false;
   // No request is read after this one; the connection closes.
   bool last_request_ = false;
@@ -195,6 +221,8 @@
 
   std::deque<std::string> outgoing_;
   std::size_t outgoing_bytes_ = 0;
+  // Most bytes that the kernel can hold of what was written.
+  std::size_t unacknowledged_bytes_ = 0;
   bool writing_ = false;
 };
 
--- a/test/caller_shutdown_test.cc
+++ b/test/caller_shutdown_test.cc
@@ -293,6 +293,7 @@
             .codec = &codec_,
             .router = &router_,
             .overload = &overload_,
+            .limiter = &limiter_,
             .random = random_.get(),
             .exchange = {.log = DiscardEvents(), .counters = &counters_},
             .owner = &owner_},
@@ -310,6 +311,10 @@
   const platform::MessageCodec codec_{};
   RequestRouter router_{{}};
   OverloadGuard overload_{{.link_bytes_per_s = 1e9}};
+  ConnectionLimiter limiter_{{.max_bytes = 1 << 20,
+                              .max_connections = 1,
+                              .max_closing = 1,
+                              .max_served = 1}};
   std::unique_ptr<RandomSource> random_ = MakeSeededRandom(1);
   HistogramCounters counters_;
   ShutdownPlan plan_{{}};
--- a/test/crowd/router_crowd_test.cc
+++ b/test/crowd/router_crowd_test.cc
@@ -27,6 +27,7 @@
 using nlohmann::json;
 
 // Memory of the smallest machine.
+constexpr int kMemoryMb = 88;
 constexpr std::size_t kMaxBytes = 88'000'000;
 // Descriptors of the process, and the part that callers may use at most, so
 // that targets, the store and peers can be connected to.
@@ -150,7 +151,8 @@
                                    .store_port = store_.port(),
                                    .peer_ports = {peer_port_},
                                    .peer_port = peer_port_,
-                                   .max_descriptors = kDescriptors});
+                                   .max_descriptors = kDescriptors,
+                                   .memory_mb = kMemoryMb});
     ASSERT_TRUE(router_->Start());
     const absl::Time until = absl::Now() + kPatience;
     while (!router_->IsReady() && absl::Now() < until) {
--- a/test/router_daemon_fixture.h
+++ b/test/router_daemon_fixture.h
@@ -216,6 +216,7 @@
           .id = InstanceId(n == 0 ? "i" : absl::StrCat("i", n)),
           .zone = ZoneId("a")};
       settings.shutdown_grace = shutdown_grace_;
+      settings.machine = machine_;
       LastReason reason;
       // Another process may take a port after it was checked.
       bool started = false;
@@ -267,6 +268,7 @@
   std::unique_ptr<FixedSource> source_;
   // Set before the instances are started.
   absl::Duration shutdown_grace_ = RouterSettings().shutdown_grace;
+  RouterMachineSettings machine_;
   EventLog* log_ = DiscardEvents();
   RouterSettings settings_;
   NoLoadSource loads_{&io_};
--- a/test/router_hostile_caller_test.cc
+++ b/test/router_hostile_caller_test.cc
@@ -1,15 +1,39 @@
+#include <unistd.h>
+
+#include <algorithm>
 #include <string>
+#include <string_view>
 
 #include "absl/strings/str_cat.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
 #include "test/router_daemon_fixture.h"
+#include "test/scripted_target.h"
 
 namespace wisteriareel {
 namespace {
 
+using ::testing::HasSubstr;
 using ::testing::StartsWith;
 
+// Responds to a request with a body of a stated length.
+void RespondToWholeRequest(int fd) {
+  constexpr std::string_view kLengthField = "Content-Length: ";
+  const std::string head = ScriptedTarget::ReadHead(fd);
+  const std::size_t at = head.find(kLengthField);
+  if (at == std::string::npos) return;
+  std::size_t left = std::stoul(head.substr(at + kLengthField.size()));
+  std::string buf(64 << 10, '\0');
+  while (left > 0) {
+    const ssize_t n = read(fd, buf.data(), std::min(left, buf.size()));
+    if (n <= 0) return;
+    left -= static_cast<std::size_t>(n);
+  }
+  const std::string response = CompleteResponse("q2", "done");
+  EXPECT_EQ(write(fd, response.data(), response.size()),
+            static_cast<ssize_t>(response.size()));
+}
+
 // The parser threw an exception, which ended the process and all its requests.
 TEST_F(RouterDaemonTest, AHeaderThatExceedsTheParserIsRefused) {
   RouteConfig config = MakeConfig(RouteKind::kIdempotent);
@@ -21,5 +45,29 @@
   EXPECT_THAT(caller.ReadAll(), StartsWith("HTTP/1.1 431"));
 }
 
+// The memory for connections is divided among all of them: an upload that
+// stopped makes room for one that goes on.
+TEST_F(RouterDaemonTest, AStoppedUploadIsRefusedAsNotRunInFavorOfAnother) {
+  // 3.6 MB are for large requests.
+  machine_.memory_mb = 16;
+  ScriptedTarget target(RespondToWholeRequest);
+  Start(target.port(), RouteKind::kIdempotent);
+  const auto upload = [](const std::string& id, std::size_t sent) {
+    return absl::StrCat(
+        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key\r\n"
+        "Wisteriareel-Request-Id: ",
+        id, "\r\nContent-Length: 2000000\r\n\r\n", std::string(sent, 'x'));
+  };
+  RawConnection stopped(settings_.listen.callers.port);
+  stopped.Send(upload("q1", 1'999'999));
+  RawConnection complete(settings_.listen.callers.port);
+  complete.Send(upload("q2", 2'000'000));
+  EXPECT_THAT(complete.ReadUntil("done"), StartsWith("HTTP/1.1 200"));
+  const std::string refusal = stopped.ReadAll();
+  EXPECT_THAT(refusal, StartsWith("HTTP/1.1 503"));
+  EXPECT_THAT(refusal, HasSubstr("Retry-After"));
+  EXPECT_THAT(refusal, HasSubstr("not_run"));
+}
+
 }  // namespace
 }  // namespace wisteriareel
--- a/test/soak/router_process.cc
+++ b/test/soak/router_process.cc
@@ -52,7 +52,7 @@
   for (const std::uint16_t port : options_.peer_ports) {
     seeds.push_back({{"address", LoopbackAddress(port)}});
   }
-  const json settings = {
+  json settings = {
       {"instance", {{"id", options_.name}, {"zone", "zone-a"}}},
       {"listen",
        {{"callers", LoopbackAddress(callers_port_)},
@@ -63,6 +63,9 @@
       {"repeats", {{"ratio", 0.2}, {"slack", 56}, {"window_s", 10}}},
       {"link_mbps", 1000},
       {"shutdown_grace_s", 8}};
+  if (options_.memory_mb > 0) {
+    settings["machine"] = {{"memory_mb", options_.memory_mb}};
+  }
   std::ofstream out(settings_path_);
   out << settings.dump(2);
   return out.good();
--- a/test/soak/router_process.h
+++ b/test/soak/router_process.h
@@ -27,6 +27,8 @@
   std::uint16_t peer_port = 0;
   // Limit on open descriptors; 0 for that of the starting process.
   rlim_t max_descriptors = 0;
+  // Memory of the machine; 0 for the default of the settings.
+  int memory_mb = 0;
 };
 
 // One instance of the router: a process with the same ports over restarts. Its
