Refuse a request by its head before its body has arrived

What callers saw: a 401 or 404 only after the whole body was sent; bodies of callers that never get in were kept as long as those of others.

Cause: requests were admitted when they were complete. Now the head is checked when it is complete and the body isn't. The refusal is sent at once, the rest of the body is discarded as it arrives, and the connection goes on after it.

Evidence: ABodyIsNotAwaitedBeforeARefusalThatItsHeadDecides. Closing the connection after such a refusal was tried first and broke CallerPipeliningTest.ARequestAfterARefusedOneIsServed.

--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -187,6 +187,8 @@
       continue;
     }
     if (parser_->is_header_done()) {
+      RefuseByHead();
+      if (last_request_) return;
       ArmIdleTimer(CallerLimits().header_timeout);
     }
     if (ec || used == 0) return;
--- a/test/router_hostile_caller_test.cc
+++ b/test/router_hostile_caller_test.cc
@@ -45,6 +45,23 @@
   EXPECT_THAT(caller.ReadAll(), StartsWith("HTTP/1.1 431"));
 }
 
+// The body was read whole before the response, which kept it in memory for
+// callers that never got in.
+TEST_F(RouterDaemonTest, ABodyIsNotAwaitedBeforeARefusalThatItsHeadDecides) {
+  ScriptedTarget target(RespondToWholeRequest);
+  Start(target.port(), RouteKind::kIdempotent);
+  RawConnection caller(settings_.listen.callers.port);
+  const std::string framing = "Content-Length: 1000\r\n\r\n";
+  caller.Send(absl::StrCat(
+      "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: unknown\r\n"
+      "Wisteriareel-Request-Id: q1\r\n",
+      framing, std::string(10, 'x')));
+  EXPECT_THAT(caller.ReadUntil("}"), StartsWith("HTTP/1.1 401"));
+  // The connection goes on after the rest of the body.
+  caller.Send(absl::StrCat(std::string(990, 'x'), Request("q2")));
+  EXPECT_THAT(caller.ReadUntil("done"), StartsWith("HTTP/1.1 200"));
+}
+
 // The memory for connections is divided among all of them: an upload that
 // stopped makes room for one that goes on.
 TEST_F(RouterDaemonTest, AStoppedUploadIsRefusedAsNotRunInFavorOfAnother) {
