Give a body as a whole a least rate

What operators would see: connections that send a byte now and then keep their bodies for good.

Cause: any progress of a body restarted its timeout. GetBodyDeadline adds a least rate of 1 KiB/s over the whole body, after the timeout; a timer that runs late shows that this process stood still, and then the body gets its timeout again. A thousandth of a link of 10 Mbit/s is faster.

Evidence: forward_body_deadline_test, a body of a byte a second and two slow ones. It drives the rule without a process.

--- a/src/runtime/caller_connection.cc
+++ b/src/runtime/caller_connection.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "boost/asio/buffer.hpp"
 #include "boost/asio/write.hpp"
+#include "src/forward/body_deadline.h"
 #include "src/forward/connection_shares.h"
 #include "src/runtime/socket_options.h"
 #include "wisteriareel/stable_hash.h"
@@ -189,7 +190,10 @@
     if (parser_->is_header_done()) {
       RefuseByHead();
       if (last_request_) return;
-      ArmIdleTimer(CallerLimits().header_timeout);
+      const BodyProgress progress{.began = body_began_,
+                                  .received = parser_->get().body().size()};
+      ArmTimer(GetBodyDeadline(progress, CallerLimits().header_timeout,
+                               dependencies_.clock->Now()));
     }
     if (ec || used == 0) return;
   }
--- a/test/forward_tests.cmake
+++ b/test/forward_tests.cmake
@@ -11,6 +11,7 @@
 wisteriareel_test(forward_overload_guard_test LIBRARIES wisteriareel_forward)
 wisteriareel_test(forward_connection_limiter_test
   LIBRARIES wisteriareel_forward rapidcheck rapidcheck_gtest)
+wisteriareel_test(forward_body_deadline_test LIBRARIES wisteriareel_forward)
 wisteriareel_test(forward_shutdown_plan_test LIBRARIES wisteriareel_forward)
 wisteriareel_test(forward_caller_response_test LIBRARIES wisteriareel_forward)
 
