--- a/src/runtime/received_body.h
+++ b/src/runtime/received_body.h
@@ -44,10 +44,10 @@
 
   static std::uint64_t size(const value_type& body) { return body.size(); }
 
-  class reader {
+  class Reader {
    public:
     template <bool kIsRequest, class Fields>
-    reader(boost::beast::http::header<kIsRequest, Fields>& /*head*/,
+    Reader(boost::beast::http::header<kIsRequest, Fields>& /*head*/,
            value_type& body)
         : body_(body) {}
 
@@ -74,6 +74,8 @@
    private:
     value_type& body_;
   };
+  // The name by which the parser finds it.
+  using reader = Reader;
 };
 
 }  // namespace wisteriareel
