Name local constants of the crowd tests as the linter asks

clang-tidy rejected ten places in new tests: names of local constants, a short, a container that grows in a loop.

--- a/test/crowd/caller_crowd.cc
+++ b/test/crowd/caller_crowd.cc
@@ -74,7 +74,7 @@
     const int events = (script_.reads_responses ? POLLIN : POLLRDHUP) |
                        (member.sent < script_.size() ? POLLOUT : 0);
     entries.push_back({.fd = member.connection.get(),
-                       .events = static_cast<short>(events),
+                       .events = static_cast<std::int16_t>(events),
                        .revents = 0});
   }
   poll(entries.data(), entries.size(), kPollMs);
--- a/test/crowd/process_watch.cc
+++ b/test/crowd/process_watch.cc
@@ -16,6 +16,8 @@
 
 constexpr absl::Duration kSampleInterval = absl::Milliseconds(20);
 constexpr std::size_t kBytesPerKilobyte = 1024;
+// State of a listening socket in the kernel's table.
+constexpr char kListening[] = "0A";
 
 std::size_t ReadResidentBytes(pid_t pid) {
   std::ifstream status(absl::StrCat("/proc/", pid, "/status"));
@@ -63,7 +65,6 @@
     }
     const auto port = static_cast<std::uint16_t>(
         std::stoul(local.substr(local_colon + 1), nullptr, 16));
-    constexpr char kListening[] = "0A";
     if (state == kListening || std::ranges::find(ports, port) == ports.end()) {
       continue;
     }
--- a/test/forward_body_deadline_test.cc
+++ b/test/forward_body_deadline_test.cc
@@ -28,15 +28,15 @@
 
 // Load pattern: a large upload over a link of 10 Mbit/s that hundreds share.
 TEST(BodyDeadlineTest, LeavesASlowBodyItsTime) {
-  constexpr std::size_t kBody = 4 << 20;
-  EXPECT_EQ(Receive(2048, absl::Milliseconds(500), kBody), kBody);
+  constexpr std::size_t body = 4 << 20;
+  EXPECT_EQ(Receive(2048, absl::Milliseconds(500), body), body);
 }
 
 // Load pattern: bursts with pauses, as over a link that loses packets.
 TEST(BodyDeadlineTest, LeavesPausesWithinTheTimeout) {
-  constexpr std::size_t kBody = 1 << 20;
-  EXPECT_EQ(Receive(16 << 10, absl::Seconds(2), kBody), kBody);
-  EXPECT_EQ(Receive(16 << 10, absl::Seconds(4), kBody), 0U);
+  constexpr std::size_t body = 1 << 20;
+  EXPECT_EQ(Receive(16 << 10, absl::Seconds(2), body), body);
+  EXPECT_EQ(Receive(16 << 10, absl::Seconds(4), body), 0U);
 }
 
 }  // namespace
--- a/test/forward_connection_limiter_test.cc
+++ b/test/forward_connection_limiter_test.cc
@@ -72,21 +72,21 @@
 // Load pattern: many bodies that stop just short of their end, and an honest
 // upload over a slow link beside them.
 TEST_F(ConnectionLimiterTest, GivesUpWhatStoppedBeforeASlowUpload) {
-  std::vector<FakeConnection*> stopped;
-  for (int n = 0; n < 5; ++n) stopped.push_back(AddReading(kLargeBytes));
-  constexpr std::size_t kSlowBytes = 125'000;
+  const FakeConnection* stopped = AddReading(kLargeBytes);
+  for (int n = 1; n < 5; ++n) AddReading(kLargeBytes);
+  constexpr std::size_t slow_bytes = 125'000;
   FakeConnection* slow = Add();
-  for (std::size_t bytes = 0; bytes < kLargeBytes; bytes += kSlowBytes) {
+  for (std::size_t bytes = 0; bytes < kLargeBytes; bytes += slow_bytes) {
     now_ += absl::Seconds(1);
     limiter_.Update(
-        slow, {.phase = ConnectionPhase::kReading, .bytes = bytes + kSlowBytes},
-        kSlowBytes, now_);
+        slow, {.phase = ConnectionPhase::kReading, .bytes = bytes + slow_bytes},
+        slow_bytes, now_);
   }
   AddReading(kLargeBytes);
   limiter_.GiveUpExcess(now_);
   EXPECT_EQ(CountGivenUp(), 2);
   EXPECT_FALSE(slow->given_up);
-  EXPECT_TRUE(stopped[0]->given_up);
+  EXPECT_TRUE(stopped->given_up);
 }
 
 // Load pattern: a byte now and then holds a body.
@@ -192,17 +192,17 @@
     ConnectionLimiterPropertyTest, MeetsTheLimitsAfterEachEvent,
     (const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint32_t>>&
          events)) {
-  constexpr std::size_t kPeers = 16;
+  constexpr std::size_t peers = 16;
   ConnectionLimiter limiter({.max_bytes = 1 << 20,
                              .max_connections = 8,
                              .max_closing = 2,
                              .max_served = 3});
   std::deque<FakeConnection> connections;
-  for (std::size_t n = 0; n < kPeers; ++n) connections.emplace_back(&limiter);
+  for (std::size_t n = 0; n < peers; ++n) connections.emplace_back(&limiter);
   absl::Time now = absl::UnixEpoch();
   for (const auto& [peer, step, size] : events) {
     now += absl::Milliseconds(step);
-    FakeConnection* connection = &connections[peer % kPeers];
+    FakeConnection* connection = &connections[peer % peers];
     limiter.Remove(connection);
     limiter.Add(connection, now);
     const auto phase = static_cast<ConnectionPhase>(step % 5);
@@ -244,13 +244,13 @@
 // A body of the largest size that callers may send fits into the smallest
 // machine.
 TEST(ConnectionSharesTest, AdmitALargeRequestOnASmallMachine) {
-  constexpr std::size_t kBodyBytes = 4 << 20;
+  constexpr std::size_t body_bytes = 4 << 20;
   ConnectionLimiter limiter(
       DivideMachine({.memory_bytes = 88'000'000, .descriptors = 4100}).callers);
   FakeConnection connection(&limiter);
   limiter.Add(&connection, absl::UnixEpoch());
   limiter.Update(&connection,
-                 {.phase = ConnectionPhase::kReading, .bytes = 2 * kBodyBytes},
+                 {.phase = ConnectionPhase::kReading, .bytes = 2 * body_bytes},
                  0, absl::UnixEpoch());
   EXPECT_FALSE(limiter.ExceedsBytes(&connection));
   EXPECT_EQ(limiter.FindExcess(absl::InfiniteFuture()), nullptr);
--- a/test/received_body_test.cc
+++ b/test/received_body_test.cc
@@ -23,11 +23,11 @@
 }
 
 TEST(ReceivedBodyTest, TakesLittleMoreThanWhatHasArrived) {
-  constexpr std::size_t kBytes = 1 << 20;
+  constexpr std::size_t bytes = 1 << 20;
   ReceivedBody body;
-  for (std::size_t n = 0; n < kBytes; ++n) body.Append("x");
-  EXPECT_GE(body.memory_bytes(), kBytes);
-  EXPECT_LE(body.memory_bytes(), kBytes + (32 << 10));
+  for (std::size_t n = 0; n < bytes; ++n) body.Append("x");
+  EXPECT_GE(body.memory_bytes(), bytes);
+  EXPECT_LE(body.memory_bytes(), bytes + (32 << 10));
 }
 
 TEST(ReceivedBodyTest, AcceptsNothing) {
--- a/test/router_hostile_caller_test.cc
+++ b/test/router_hostile_caller_test.cc
@@ -18,11 +18,11 @@
 
 // Responds to a request with a body of a stated length.
 void RespondToWholeRequest(int fd) {
-  constexpr std::string_view kLengthField = "Content-Length: ";
+  constexpr std::string_view length_field = "Content-Length: ";
   const std::string head = ScriptedTarget::ReadHead(fd);
-  const std::size_t at = head.find(kLengthField);
+  const std::size_t at = head.find(length_field);
   if (at == std::string::npos) return;
-  std::size_t left = std::stoul(head.substr(at + kLengthField.size()));
+  std::size_t left = std::stoul(head.substr(at + length_field.size()));
   std::string buf(64 << 10, '\0');
   while (left > 0) {
     const ssize_t n = read(fd, buf.data(), std::min(left, buf.size()));
