--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Builds the cases 6 to 10 and their stand-ins into target/review-2.
+set -eu
+cd "$(dirname "$0")/.."
+out=target/review-2
+mkdir -p "$out"
+for source in review/harness/*.cc; do
+  g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread -c "$source" \
+    -o "$out/$(basename "$source" .cc).o"
+done
+for source in review/6/case.cc review/7/case.cc review/8/case.cc \
+  review/9/case.cc review/10/case.cc; do
+  [ -f "$source" ] || continue
+  number=$(basename "$(dirname "$source")")
+  g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread "$source" "$out"/*.o \
+    -o "$out/case-$number"
+done
