--- a/include/wisteriareel/async_table.h
+++ b/include/wisteriareel/async_table.h
@@ -27,11 +27,24 @@
                           const PartitionRowKey&) = default;
 };
 
-// A row as read. `version` is zero only if the row is absent.
+// The version of a row, or of the whole table service. Numbers are given out
+// again after the table service was restored from an older copy, which begins a
+// new era, so they are comparable only within an era.
+struct TableVersion {
+  // Zero if the table service states no era.
+  std::uint64_t era = 0;
+  // Zero if the row is absent.
+  std::uint64_t number = 0;
+
+  friend bool operator==(const TableVersion&, const TableVersion&) = default;
+  friend auto operator<=>(const TableVersion&, const TableVersion&) = default;
+};
+
+// A row as read. The number of `version` is zero only if the row is absent.
 struct PartitionRow {
   PartitionRowKey key;
   std::string value;
-  std::uint64_t version = 0;
+  TableVersion version;
   // The row was deleted. Set only in replies to PollChanges.
   bool deleted = false;
 
@@ -47,10 +60,11 @@
                          const PartitionRowWrite&) = default;
 };
 
-// Requires a row to be at `version`; zero requires it to be absent.
+// Requires a row to be at `version`; the number zero requires it to be absent.
+// A condition on a version of an earlier era than AsyncTable::Era never holds.
 struct PartitionRowCondition {
   PartitionRowKey key;
-  std::uint64_t version = 0;
+  TableVersion version;
 
   friend bool operator==(const PartitionRowCondition&,
                          const PartitionRowCondition&) = default;
@@ -81,8 +95,12 @@
 
 struct CommitReply {
   CommitOutcome outcome = CommitOutcome::kUnknown;
-  // Version of the written rows, if committed.
-  std::uint64_t version = 0;
+  // Version of the written rows, if committed. Stated in the era in which the
+  // transaction was sent: a commit by a table service that was restored
+  // meanwhile is kUnknown.
+  TableVersion version;
+  // The era of `current`, if the outcome is a conflict.
+  std::uint64_t era = 0;
   // The current rows of the conditions, if the outcome is a conflict. Absent
   // rows are left out.
   std::vector<PartitionRow> current;
@@ -94,7 +112,7 @@
 struct RowsReply {
   std::vector<PartitionRow> rows;
   // Newest version of the whole table service when the rows were read.
-  std::uint64_t version = 0;
+  TableVersion version;
   // The platform's clock in milliseconds, if the reply states it.
   std::optional<std::int64_t> platform_ms;
 };
@@ -103,7 +121,8 @@
 enum class PollOutcome : std::uint8_t {
   // The reply holds the changes, if any.
   kChanges,
-  // The requested history was discarded; read the rows instead.
+  // The requested history was discarded, or the version is of an earlier era;
+  // read the rows instead.
   kHistoryLost,
   kFailed,
 };
@@ -125,6 +144,11 @@
 
   virtual ~AsyncTable() = default;
 
+  // Returns the newest era that a reply has stated, or 0 if none has. It rises
+  // when the table service was restored from an older copy: writes that it had
+  // acknowledged may be lost.
+  virtual std::uint64_t Era() const = 0;
+
   // Returns the latest reading of the platform's clock, or nullopt if there was
   // none.
   virtual std::optional<TableContact> LastContact() const = 0;
@@ -141,8 +165,9 @@
                     ReadDone done) = 0;
 
   // Waits up to `wait` for rows of `table` that changed after `version`.
-  virtual void PollChanges(const std::string& table, std::uint64_t version,
-                           absl::Duration wait, PollDone done) = 0;
+  virtual void PollChanges(const std::string& table,
+                           const TableVersion& version, absl::Duration wait,
+                           PollDone done) = 0;
 };
 
 }  // namespace wisteriareel
--- a/include/wisteriareel/event_log.h
+++ b/include/wisteriareel/event_log.h
@@ -22,6 +22,9 @@
   kLogLinesDropped = 1007,
 
   // 1100-1199 platform.
+  kTableEraChanged = 1100,
+  kTableEraInvalid = 1101,
+
   // 1200-1299 budget.
   kGrantsReclaimed = 1200,
   kRecordsPending = 1201,
@@ -31,6 +34,8 @@
   kTokensInherited = 1205,
   kTokensHandedOver = 1206,
   kTokensRecalled = 1207,
+  kLedgerRowsRecovered = 1208,
+
   // 1300-1399 request.
   kClaimInDoubt = 1300,
   kClaimReleasePending = 1301,
--- a/src/forward/prepaid_ledger.cc
+++ b/src/forward/prepaid_ledger.cc
@@ -29,6 +29,10 @@
 // which may all have started again together.
 constexpr absl::Duration kMinInheritSpread = absl::Milliseconds(150);
 constexpr absl::Duration kInheritSpreadPerInstance = absl::Milliseconds(15);
+// When the table was restored, all instances read their rows again. Home
+// instances come first, since the others borrow from them.
+constexpr absl::Duration kMinRereadSpread = absl::Milliseconds(100);
+constexpr absl::Duration kRereadInterval = absl::Milliseconds(4);
 // A request waits if the limit will have grown enough within this time.
 constexpr absl::Duration kGrowthWait = absl::Milliseconds(300);
 
@@ -78,6 +82,26 @@
   clock_at_ = time;
 }
 
+void PrepaidLedger::SetEra(std::uint64_t era, absl::Time now) {
+  if (era <= era_) return;
+  era_ = era;
+  const absl::Duration spread =
+      std::max(kMinRereadSpread, kRereadInterval * instances_ *
+                                     static_cast<int>(accounts_.size()));
+  for (auto& [id, account] : accounts_) {
+    // Nothing is known of the rows yet that may be outdated.
+    if (!account.inherited && !account.pool_known) continue;
+    account.reread = true;
+    account.pool_empty = false;
+    account.shortage = std::nullopt;
+    account.next_loan = absl::InfinitePast();
+    account.next_gathering = absl::InfinitePast();
+    account.returnable_until = absl::InfinitePast();
+    account.next_transaction =
+        now + NextJitter() * (account.is_home ? kMinRereadSpread : spread);
+  }
+}
+
 void PrepaidLedger::SetInheritedTimes(const InheritedTimes& times,
                                       absl::Time now) {
   inherited_times_ = times;
--- a/src/forward/prepaid_ledger.h
+++ b/src/forward/prepaid_ledger.h
@@ -11,6 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "src/forward/known_ledger_rows.h"
 #include "src/forward/route_config.h"
 #include "src/forward/token_loan.h"
 #include "wisteriareel/async_table.h"
@@ -70,9 +71,10 @@
   // The last incarnations that wrote a heartbeat, newest first.
   std::vector<EndedIncarnation> ended;
 
-  // Returns the longest time that the writer of a row can have used tokens
-  // after it was last known to keep to the authorized amount. `planned_ms` is
-  // the time that the row states, or 0.
+  // Returns the longest time that the writer of a row, or a later incarnation
+  // that inherited the row, can have used tokens after it was last known to
+  // keep to the authorized amount. `planned_ms` is the time that the row
+  // states, or 0.
   absl::Duration GapOf(const std::string& writer,
                        std::int64_t planned_ms) const;
 
@@ -120,6 +122,15 @@
 // is cut off. When a customer's pool is empty, the home instance asks for the
 // return of these amounts.
 //
+// When the table is restored from an older copy, which begins a new era, rows
+// that it had acknowledged are lost. Each row states the era in which it was
+// planned. A row of the present era is as good as before. One of an earlier era
+// may be outdated, and of its states that the table or an instance knows the
+// newest counts. An instance draws from a pool of an earlier era, or inherits
+// such a row, only once it has learned what the other instances know; the first
+// one that draws writes the newest state of the pool. An instance whose newer
+// state wasn't included then adds the difference.
+//
 // Not thread-safe. Opens no connections.
 class PrepaidLedger {
  public:
@@ -134,6 +145,11 @@
   // first transaction.
   void SetInheritedTimes(const InheritedTimes& times, absl::Time now);
 
+  // Records that the table is in `era`, or a later one. Zero if the table
+  // states no eras.
+  void SetEra(std::uint64_t era, absl::Time now);
+  std::uint64_t era() const { return era_; }
+
   // Records that the platform's clock showed at least `platform_ms` at `time`.
   void RecordClock(std::int64_t platform_ms, absl::Time time);
 
@@ -246,6 +262,27 @@
       const std::function<bool(const std::string&)>& is_reachable,
       absl::Time now);
 
+  // Returns the customers whose rows may be outdated, and for which the states
+  // that the other instances know are needed. Each must be followed by one call
+  // of CompleteRecovery.
+  std::vector<CustomerId> TakeRecoveries();
+
+  // Applies the states of the customer's rows that this and the other instances
+  // know. `era` is the era that they were collected for.
+  void CompleteRecovery(const CustomerId& customer, std::uint64_t era,
+                        const std::vector<KnownLedgerRow>& rows,
+                        absl::Time now);
+
+  // Returns true if `key` is the key of a customer's pool row or of the row of
+  // `instance`.
+  static bool IsPoolOrRowOf(const std::string& key,
+                            const std::string& instance);
+
+  // Returns the state of a row of the ledger: the era in which it was planned,
+  // and the version that it replaced. Later states are greater. A row that
+  // states none is of the version at which it was read.
+  static TableVersion StateOf(const PartitionRow& row);
+
   // Forgets the waiting requests of `customer`, which are about to call Reserve
   // again.
   void ForgetWaitingRequests(const CustomerId& customer);
@@ -259,6 +296,10 @@
     std::int64_t granted = 0;
     // Consumed by delivered responses, as far as reported.
     std::int64_t delivered = 0;
+    // The newest state of an earlier era that this one includes: its version
+    // and its granted tokens.
+    TableVersion base;
+    std::int64_t base_granted = 0;
 
     friend bool operator==(const Pool&, const Pool&) = default;
   };
@@ -298,15 +339,43 @@
     Holding own;
     // Delivered tokens that `pool` reports.
     std::int64_t reported = 0;
+    // States of the rows that it writes. The era is the one in which it was
+    // planned.
+    TableVersion own_state;
+    TableVersion pool_state;
+  };
+  // A row of an earlier era that a previous incarnation wrote.
+  struct OutdatedRow {
+    TableVersion state;
+    std::string value;
   };
   struct Account {
     std::optional<Tokens> prepaid;
     // As of the last definite reply.
     Pool pool;
-    std::uint64_t pool_version = 0;
+    // Version to expect in the table, and the newest state that `pool`
+    // includes: its version, and the era in which it was planned.
+    TableVersion pool_version;
+    TableVersion pool_state;
     bool pool_known = false;
     Holding own;
-    std::uint64_t own_version = 0;
+    TableVersion own_version;
+    TableVersion own_state;
+    // The rows must be read again, since the table was restored.
+    bool reread = false;
+    // Era for which the states that the other instances know were applied.
+    std::uint64_t recovered_era = 0;
+    // These states are needed, and are being collected.
+    bool recovery_wanted = false;
+    bool recovering = false;
+    // Its inheritance waits for them.
+    std::optional<OutdatedRow> outdated_row;
+    // The newest known state of the pool in an earlier era, and its granted
+    // tokens.
+    TableVersion earlier_state;
+    std::int64_t earlier_granted = 0;
+    // The pool in the table doesn't include that state; `pool` does.
+    bool pool_incomplete = false;
     // Settled by this instance.
     std::int64_t settled = 0;
     // Consumed by delivered responses, of this instance and of its borrowers,
@@ -416,8 +485,10 @@
   std::int64_t LimitGrowth(const Account& account, absl::Time now) const;
   absl::Duration LimitDelay(bool is_home) const;
   void RecordUse(Account* account, std::int64_t amount, absl::Time now);
+  // Sets `recovery_wanted` if the transaction needs the states that the other
+  // instances know.
   std::optional<PendingTransaction> PlanTransaction(const CustomerId& id,
-                                                    const Account& account,
+                                                    Account* account,
                                                     absl::Time now) const;
   std::int64_t PlanGrant(const Account& account, absl::Time now) const;
   ReserveResult HandleShortfall(Account* account, std::int64_t amount,
@@ -442,15 +513,33 @@
   absl::Duration SpareInterval() const;
   // Returns the incarnation that wrote the row, or an empty string.
   static std::string WriterOf(const std::string& value);
-  std::string EncodeHolding(const Holding& holding) const;
+  std::string EncodeHolding(const Holding& holding,
+                            const TableVersion& state) const;
   static std::optional<Holding> DecodeHolding(const std::string& text);
+  static std::string EncodePool(const Pool& pool, const TableVersion& state);
+  static Pool DecodePool(const std::string& text);
+  // Returns the state that a value states, or nullopt.
+  static std::optional<TableVersion> DecodeState(bool is_pool,
+                                                 const std::string& value);
+  // Returns the version to expect of a row that was at `known` when it was last
+  // read, or of an absent row.
+  TableVersion ExpectedVersion(const TableVersion& known) const;
+  // Returns true if tokens may be drawn from the known pool.
+  bool IsPoolCurrent(const Account& account) const;
+  // Returns a transaction that conflicts, so that its reply states the rows.
+  PendingTransaction PlanRead(const CustomerId& id,
+                              const Account& account) const;
   std::int64_t PlanReturn(const Account& account, absl::Time now) const;
   // Returns a number in [0, 1) that differs between calls and between
   // instances, so that instances don't act at the same time.
   double NextJitter();
   // Applies the rows of a conflict with `transaction`.
   void ApplyRows(Account* account, const PartitionTransaction& transaction,
-                 const std::vector<PartitionRow>& rows, absl::Time now);
+                 const CommitReply& reply, absl::Time now);
+  void ApplyPoolRow(Account* account, const PartitionRow* row,
+                    std::uint64_t read_era);
+  void ApplyOwnRow(Account* account, const PartitionRow* row,
+                   std::uint64_t read_era, absl::Time now);
   // Inherits the row that `writer` wrote.
   void InheritRow(const std::string& writer, Account* account, absl::Time now);
   static PartitionRowKey PoolKey(const CustomerId& id);
@@ -459,6 +548,7 @@
   const PrepaidLedgerOptions options_;
   int instances_ = 1;
   std::uint64_t spreads_ = 0;
+  std::uint64_t era_ = 0;
   bool returning_tokens_ = false;
   InheritedTimes inherited_times_;
   // A reading of the platform's clock.
--- a/src/forward/prepaid_ledger_plan.cc
+++ b/src/forward/prepaid_ledger_plan.cc
@@ -236,14 +236,46 @@
   return static_cast<double>(held) > limit ? held - keep : 0;
 }
 
+PrepaidLedger::PendingTransaction PrepaidLedger::PlanRead(
+    const CustomerId& id, const Account& account) const {
+  // A version without an era never holds while the table states eras.
+  return {.transaction = {.conditions = {{.key = HolderKey(id)},
+                                         {.key = PoolKey(id)}},
+                          .writes = {{.key = HolderKey(id),
+                                      .value = EncodeHolding(
+                                          account.own, account.own_state)}}},
+          .own = account.own,
+          .own_state = {.era = era_}};
+}
+
 std::optional<PrepaidLedger::PendingTransaction> PrepaidLedger::PlanTransaction(
-    const CustomerId& id, const Account& account, absl::Time now) const {
-  const std::int64_t grant = PlanGrant(account, now);
-  const std::int64_t return_amount = grant > 0 ? 0 : PlanReturn(account, now);
-  const bool report_due = account.unreported > 0 &&
-                          (returning_tokens_ ||
-                           (IsHome(account, now) &&
-                            account.next_transaction + kReportInterval <= now));
+    const CustomerId& id, Account* planned_account, absl::Time now) const {
+  const Account& account = *planned_account;
+  if (account.outdated_row.has_value()) return std::nullopt;
+  if (account.reread) return PlanRead(id, account);
+  std::int64_t grant = PlanGrant(account, now);
+  std::int64_t return_amount = grant > 0 ? 0 : PlanReturn(account, now);
+  bool report_due = account.unreported > 0 &&
+                    (returning_tokens_ ||
+                     (IsHome(account, now) &&
+                      account.next_transaction + kReportInterval <= now));
+  // If the pool seems too small for a waiting request, a transaction without
+  // changes reads it again: it conflicts if the pool has changed.
+  bool recheck_pool =
+      account.pool_incomplete ||
+      WantedFromPool(account, now) > account.own.granted - UsedAmount(account);
+  if (grant > 0 || return_amount > 0 || report_due || recheck_pool) {
+    if (era_ > 0 && account.pool_version.era != era_) {
+      return PlanRead(id, account);
+    }
+    if (!IsPoolCurrent(account)) {
+      planned_account->recovery_wanted = true;
+      grant = 0;
+      return_amount = 0;
+      report_due = false;
+      recheck_pool = false;
+    }
+  }
   const std::int64_t used = UsedAmount(account);
   PendingTransaction pending;
   pending.own = {.granted = account.own.granted + grant - return_amount,
@@ -278,9 +310,6 @@
           std::min(account.own.granted, account.own.authorized) - used) >
           mean_request_ + static_cast<double>(authorized_room);
   const bool authorize = authorized_free < 0 || raise || lower;
-  // If the pool seems too small for a waiting request, a transaction without
-  // changes reads it again: it conflicts if the pool has changed.
-  const bool recheck_pool = wanted > account.own.granted - used;
   const bool writes_pool =
       grant > 0 || return_amount > 0 || report_due || recheck_pool;
   // A previous incarnation may have left tokens in this instance's row. A
@@ -290,20 +319,29 @@
   if (!writes_pool && !authorize && !read_own_row && !claims_row) {
     return std::nullopt;
   }
+  const TableVersion own_version = ExpectedVersion(account.own_version);
+  pending.own_state = {.era = era_, .number = own_version.number};
   pending.transaction.conditions = {
-      {.key = HolderKey(id), .version = account.own_version}};
+      {.key = HolderKey(id), .version = own_version}};
   pending.transaction.writes = {
-      {.key = HolderKey(id), .value = EncodeHolding(pending.own)}};
+      {.key = HolderKey(id),
+       .value = EncodeHolding(pending.own, pending.own_state)}};
   if (!writes_pool) return pending;
   pending.reported = account.unreported;
-  pending.pool = {.granted = account.pool.granted + grant - return_amount,
-                  .delivered = account.pool.delivered + account.unreported};
+  pending.pool = account.pool;
+  if (account.pool_state.era < era_) {
+    pending.pool->base = account.pool_state;
+    pending.pool->base_granted = account.pool.granted;
+  }
+  pending.pool->granted += grant - return_amount;
+  pending.pool->delivered += account.unreported;
+  const TableVersion pool_version = ExpectedVersion(account.pool_version);
+  pending.pool_state = {.era = era_, .number = pool_version.number};
   pending.transaction.conditions.push_back(
-      {.key = PoolKey(id), .version = account.pool_version});
+      {.key = PoolKey(id), .version = pool_version});
   pending.transaction.writes.push_back(
       {.key = PoolKey(id),
-       .value =
-           absl::StrCat(pending.pool->granted, " ", pending.pool->delivered)});
+       .value = EncodePool(*pending.pool, pending.pool_state)});
   return pending;
 }
 
@@ -317,7 +355,7 @@
     const bool urgent = WantedFromPool(account, now) > 0 && !account.pool_known;
     if (account.next_transaction > now && !urgent) continue;
     if (!account.pending.has_value())
-      account.pending = PlanTransaction(id, account, now);
+      account.pending = PlanTransaction(id, &account, now);
     if (!account.pending.has_value()) continue;
     account.in_flight = true;
     account.sent_at = now;
@@ -379,20 +417,36 @@
   if (reply.outcome == CommitOutcome::kCommitted) {
     account.own = pending.own;
     account.own_version = reply.version;
+    account.own_state = pending.own_state;
     account.inherited = true;
     account.claim_at = absl::InfiniteFuture();
     account.unreported -= pending.reported;
-    if (writes_pool) {
+    // If the table was restored meanwhile, a newer state may be known.
+    if (writes_pool && account.pool_state <= pending.pool_state) {
       account.pool = *pending.pool;
       account.pool_version = reply.version;
+      account.pool_state = pending.pool_state;
+      account.pool_incomplete = false;
       account.pool_known = true;
       account.reported_at = now;
     }
     account.conflicts = 0;
   } else {
-    ApplyRows(&account, pending.transaction, reply.current, now);
+    const TableVersion own_state = account.own_state;
+    ApplyRows(&account, pending.transaction, reply, now);
+    const bool was_performed =
+        era_ > 0 && account.own_state == pending.own_state;
+    const bool was_restored = reply.era > pending.own_state.era;
+    if (was_performed || was_restored) account.unreported -= pending.reported;
+    if (was_restored && account.own_state == own_state) {
+      // The table doesn't show whether the transaction was performed before it
+      // was restored. Others may have drawn what it returned.
+      account.own.granted = std::min(account.own.granted, pending.own.granted);
+      account.claim_at = now;
+    }
     account.conflicts = std::min(account.conflicts + 1, kMaxConflictDoublings);
   }
+  if (account.pool_version.era == era_) account.reread = false;
   account.transaction_allowed = false;
   account.next_transaction = now;
   if (account.conflicts > 1) {
--- a/src/forward/prepaid_ledger_rows.cc
+++ b/src/forward/prepaid_ledger_rows.cc
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/numbers.h"
@@ -15,6 +16,9 @@
 namespace {
 
 constexpr char kPoolRow[] = "pool";
+// Position of the state in a row. A build without eras ignores it.
+constexpr std::size_t kPoolStateField = 2;
+constexpr std::size_t kHoldingStateField = 6;
 // A row of a build that wrote no growth: all tokens were usable after this.
 constexpr absl::Duration kDelayIfUnstated = absl::Milliseconds(2900);
 constexpr std::int64_t kGrowthIfUnstated = 1'000'000'000'000;
@@ -46,11 +50,63 @@
           .key = absl::StrCat(kHolderPrefix, options_.instance)};
 }
 
-std::string PrepaidLedger::EncodeHolding(const Holding& holding) const {
-  return absl::StrCat(holding.granted, " ", holding.settled, " ",
-                      holding.authorized, " ", holding.growth, " ",
-                      absl::ToInt64Milliseconds(holding.delay), " ",
-                      holding.planned_ms, " ", options_.incarnation);
+std::string PrepaidLedger::EncodeHolding(const Holding& holding,
+                                         const TableVersion& state) const {
+  std::string text = absl::StrCat(holding.granted, " ", holding.settled, " ",
+                                  holding.authorized, " ", holding.growth, " ",
+                                  absl::ToInt64Milliseconds(holding.delay), " ",
+                                  holding.planned_ms, " ");
+  if (state.era > 0) absl::StrAppend(&text, state.era, " ", state.number, " ");
+  return text + options_.incarnation;
+}
+
+std::string PrepaidLedger::EncodePool(const Pool& pool,
+                                      const TableVersion& state) {
+  std::string text = absl::StrCat(pool.granted, " ", pool.delivered);
+  if (state.era == 0) return text;
+  return absl::StrCat(text, " ", state.era, " ", state.number, " ",
+                      pool.base.era, " ", pool.base.number, " ",
+                      pool.base_granted);
+}
+
+PrepaidLedger::Pool PrepaidLedger::DecodePool(const std::string& text) {
+  const std::vector<std::string> fields = absl::StrSplit(text, ' ');
+  Pool pool;
+  // A pool row that can't be decoded grants nothing.
+  if (!DecodeNumbers(fields, &pool.granted, &pool.delivered)) {
+    return {.granted = INT64_MAX / 2};
+  }
+  Pool stated;
+  TableVersion state;
+  if (DecodeNumbers(fields, &stated.granted, &stated.delivered, &state.era,
+                    &state.number, &stated.base.era, &stated.base.number,
+                    &stated.base_granted)) {
+    return stated;
+  }
+  return pool;
+}
+
+std::optional<TableVersion> PrepaidLedger::DecodeState(
+    bool is_pool, const std::string& value) {
+  const std::vector<std::string> fields = absl::StrSplit(value, ' ');
+  const std::size_t index = is_pool ? kPoolStateField : kHoldingStateField;
+  // The writer follows the state in a holder's row.
+  const std::size_t needed = is_pool ? index + 2 : index + 3;
+  TableVersion state;
+  if (fields.size() < needed || !absl::SimpleAtoi(fields[index], &state.era) ||
+      !absl::SimpleAtoi(fields[index + 1], &state.number)) {
+    return std::nullopt;
+  }
+  return state;
+}
+
+bool PrepaidLedger::IsPoolOrRowOf(const std::string& key,
+                                  const std::string& instance) {
+  return key == kPoolRow || key == absl::StrCat(kHolderPrefix, instance);
+}
+
+TableVersion PrepaidLedger::StateOf(const PartitionRow& row) {
+  return DecodeState(row.key.key == kPoolRow, row.value).value_or(row.version);
 }
 
 std::optional<PrepaidLedger::Holding> PrepaidLedger::DecodeHolding(
@@ -104,39 +160,139 @@
                 std::max(kMinClaimSpread, instances_ * kClaimSpreadPerInstance);
 }
 
+bool PrepaidLedger::IsPoolCurrent(const Account& account) const {
+  return era_ == 0 || account.pool_state.era == era_ ||
+         account.recovered_era == era_;
+}
+
+TableVersion PrepaidLedger::ExpectedVersion(const TableVersion& known) const {
+  return known == TableVersion{} ? TableVersion{.era = era_} : known;
+}
+
 void PrepaidLedger::ApplyRows(Account* account,
                               const PartitionTransaction& transaction,
-                              const std::vector<PartitionRow>& rows,
-                              absl::Time now) {
+                              const CommitReply& reply, absl::Time now) {
   for (const PartitionRowCondition& condition : transaction.conditions) {
-    const bool is_pool = condition.key.key == kPoolRow;
     const auto it = std::find_if(
-        rows.begin(), rows.end(),
+        reply.current.begin(), reply.current.end(),
         [&](const PartitionRow& row) { return row.key == condition.key; });
-    const bool exists = it != rows.end();
-    if (is_pool) {
-      account->pool_known = true;
-      account->pool = {};
-      account->pool_version = exists ? it->version : 0;
-      const std::vector<std::string> fields =
-          absl::StrSplit(exists ? it->value : "0 0", ' ');
-      if (!DecodeNumbers(fields, &account->pool.granted,
-                         &account->pool.delivered)) {
-        // A pool row that can't be decoded grants nothing.
-        account->pool.granted = INT64_MAX / 2;
-      }
-      continue;
+    const PartitionRow* row = it == reply.current.end() ? nullptr : &*it;
+    if (condition.key.key == kPoolRow) {
+      ApplyPoolRow(account, row, reply.era);
+    } else {
+      ApplyOwnRow(account, row, reply.era, now);
+    }
+  }
+}
+
+void PrepaidLedger::ApplyPoolRow(Account* account, const PartitionRow* row,
+                                 std::uint64_t read_era) {
+  const bool was_known = account->pool_known;
+  const TableVersion known = account->pool_state;
+  account->pool_known = true;
+  account->pool_version =
+      row == nullptr ? TableVersion{.era = read_era} : row->version;
+  const TableVersion state = row == nullptr ? TableVersion{} : StateOf(*row);
+  // The table went back to an older state, or shows one that was planned before
+  // and performed later.
+  if (read_era > 0 && was_known && state <= known) return;
+  if (was_known && known.era < state.era) {
+    account->earlier_state = known;
+    account->earlier_granted = account->pool.granted;
+  }
+  account->pool = row == nullptr ? Pool{} : DecodePool(row->value);
+  account->pool_state = state;
+  // The first state of this era may not include the newest one before it, which
+  // its writer didn't know.
+  account->pool_incomplete =
+      row != nullptr && DecodeState(/*is_pool=*/true, row->value).has_value() &&
+      std::pair(account->pool.base, account->pool.base_granted) <
+          std::pair(account->earlier_state, account->earlier_granted);
+  if (!account->pool_incomplete) return;
+  account->pool.granted +=
+      account->earlier_granted - account->pool.base_granted;
+  account->pool.base = account->earlier_state;
+  account->pool.base_granted = account->earlier_granted;
+}
+
+void PrepaidLedger::ApplyOwnRow(Account* account, const PartitionRow* row,
+                                std::uint64_t read_era, absl::Time now) {
+  account->own_version =
+      row == nullptr ? TableVersion{.era = read_era} : row->version;
+  const TableVersion state = row == nullptr ? TableVersion{} : StateOf(*row);
+  const std::string writer = row == nullptr ? "" : WriterOf(row->value);
+  const bool is_outdated = row != nullptr && state.era < read_era;
+  // The row of an earlier incarnation is inherited only once.
+  const bool inherits =
+      !account->inherited && row != nullptr && writer != options_.incarnation;
+  if (inherits && is_outdated) {
+    account->outdated_row = OutdatedRow{.state = state, .value = row->value};
+    account->recovery_wanted = true;
+    return;
+  }
+  const bool was_inherited = std::exchange(account->inherited, true);
+  if (read_era > 0 && !inherits &&
+      (is_outdated || (was_inherited && state < account->own_state))) {
+    // This incarnation knows what it holds. A later one must not inherit an
+    // older state.
+    account->claim_at = now;
+    return;
+  }
+  account->own = row == nullptr ? Holding{}
+                                : DecodeHolding(row->value).value_or(Holding{});
+  account->own.planned_at = now;
+  account->own_state = state;
+  if (inherits) InheritRow(writer, account, now);
+}
+
+std::vector<CustomerId> PrepaidLedger::TakeRecoveries() {
+  std::vector<CustomerId> customers;
+  for (auto& [id, account] : accounts_) {
+    if (!account.recovery_wanted || account.recovering) continue;
+    account.recovering = true;
+    customers.push_back(id);
+  }
+  return customers;
+}
+
+void PrepaidLedger::CompleteRecovery(const CustomerId& customer,
+                                     std::uint64_t era,
+                                     const std::vector<KnownLedgerRow>& rows,
+                                     absl::Time now) {
+  Account& account = accounts_[customer];
+  account.recovering = false;
+  // The table was restored once more: what is wanted then is collected again.
+  if (era != era_) return;
+  account.recovery_wanted = false;
+  account.recovered_era = era;
+  account.next_transaction = now;
+  const std::string own_key = HolderKey(customer).key;
+  std::optional<OutdatedRow> inherited;
+  for (const KnownLedgerRow& row : rows) {
+    // The table may show a void transaction in place of the one that was
+    // acknowledged.
+    if (row.key == kPoolRow && account.pool_state <= row.state) {
+      account.pool = DecodePool(row.value);
+      account.pool_state = row.state;
+      account.pool_known = true;
+    }
+    if (row.key == own_key && account.outdated_row.has_value() &&
+        account.outdated_row->state <= row.state) {
+      inherited = OutdatedRow{.state = row.state, .value = row.value};
+      account.outdated_row = inherited;
     }
-    account->own_version = exists ? it->version : 0;
-    account->own =
-        exists ? DecodeHolding(it->value).value_or(Holding{}) : Holding{};
-    account->own.planned_at = now;
-    // The row of an earlier incarnation is inherited only once.
-    const std::string writer = exists ? WriterOf(it->value) : "";
-    const bool own_row = !exists || writer == options_.incarnation;
-    if (!account->inherited && !own_row) InheritRow(writer, account, now);
-    account->inherited = true;
   }
+  const std::optional<OutdatedRow> outdated =
+      std::exchange(account.outdated_row, std::nullopt);
+  if (!outdated.has_value()) return;
+  account.own = DecodeHolding(outdated->value).value_or(Holding{});
+  account.own.planned_at = now;
+  account.own_state = outdated->state;
+  // Nobody knows how much of the row was used if no instance confirms it.
+  if (!inherited.has_value()) account.own.authorized = account.own.granted;
+  InheritRow(WriterOf(outdated->value), &account, now);
+  account.inherited = true;
+  account.claim_at = now;
 }
 
 }  // namespace wisteriareel
--- a/src/router/deployment_source.h
+++ b/src/router/deployment_source.h
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 #include "src/forward/route_config.h"
 #include "src/forward/target_entry.h"
+#include "wisteriareel/async_table.h"
 #include "wisteriareel/reason.h"
 
 namespace wisteriareel {
@@ -26,7 +27,7 @@
 struct PositionedConfig {
   // Unset if there is none, if it can't be parsed, or if it didn't change.
   std::optional<ParsedConfig> config;
-  std::uint64_t position = 0;
+  TableVersion position;
 };
 
 // Result of a poll for configuration changes.
@@ -51,7 +52,7 @@
   virtual void ReadConfig(ConfigDone done) = 0;
 
   // Waits up to `wait` for a change after `position`.
-  virtual void PollConfig(std::uint64_t position, absl::Duration wait,
+  virtual void PollConfig(const TableVersion& position, absl::Duration wait,
                           ConfigPollDone done) = 0;
 
   virtual void ListTargets(TargetsDone done) = 0;
--- a/src/router/instance_registry.cc
+++ b/src/router/instance_registry.cc
@@ -168,6 +168,10 @@
 void InstanceRegistry::ApplyRows(const std::vector<PartitionRow>& rows) {
   const absl::Time now = scheduler_->Now();
   read_at_ = now;
+  if (table_->Era() != era_) {
+    if (era_ != 0) restored_at_ = now;
+    era_ = table_->Era();
+  }
   std::map<std::string, Member> members;
   PartitionTransaction removal;
   std::vector<const PartitionRow*> reports;
@@ -179,11 +183,16 @@
     const std::optional<InstanceHeartbeat> heartbeat =
         DecodeInstanceHeartbeat(row.value);
     if (!heartbeat.has_value()) continue;
-    Member member{.version = row.version,
+    Member member{.incarnation = heartbeat->incarnation,
+                  .number = heartbeat->number,
                   .changed_at = now,
                   .address = heartbeat->address};
     const auto it = members_.find(row.key.key);
-    if (it != members_.end() && it->second.version == row.version) {
+    // A table that was restored shows earlier heartbeats again.
+    if (it != members_.end() &&
+        it->second.incarnation == heartbeat->incarnation &&
+        it->second.number >= heartbeat->number) {
+      member.number = it->second.number;
       member.changed_at = it->second.changed_at;
     }
     if (now - member.changed_at > options_.removal_timeout) {
@@ -193,6 +202,10 @@
     }
     members[row.key.key] = member;
   }
+  if (now - restored_at_ <= options_.alive_timeout) {
+    // The rows of instances that joined a moment ago may be lost.
+    members.merge(members_);
+  }
   members_ = std::move(members);
   for (const PartitionRow* row : reports) {
     const std::string name = row->key.key.substr(std::strlen(kReportPrefix));
--- a/src/router/instance_registry.h
+++ b/src/router/instance_registry.h
@@ -132,7 +132,9 @@
 
  private:
   struct Member {
-    std::uint64_t version = 0;
+    // The heartbeat that was read last.
+    std::string incarnation;
+    std::uint64_t number = 0;
     absl::Time changed_at;
     Endpoint address;
   };
@@ -165,6 +167,9 @@
   // no writes, the heartbeats of others don't change either.
   absl::Time acknowledged_since_ = absl::InfiniteFuture();
   std::map<std::string, Member> members_;
+  // Era of the table, and the time at which it rose.
+  std::uint64_t era_ = 0;
+  absl::Time restored_at_ = absl::InfinitePast();
   // The report that this instance's row holds; unset if that isn't known.
   std::optional<std::string> written_report_;
 };
--- /dev/null
+++ b/src/router/ledger_row_sync.cc
@@ -0,0 +1,206 @@
+#include "src/router/ledger_row_sync.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "src/forward/prepaid_ledger.h"
+
+namespace wisteriareel {
+namespace {
+
+// Separate rows, and the fields of a row. Neither is part of a field, since
+// texts are encoded.
+constexpr char kRowSeparator = ',';
+constexpr char kFieldSeparator = '.';
+constexpr std::size_t kRowFields = 5;
+// Number of rows or customers whose encoding fits into the head of a request.
+constexpr std::size_t kMaxRowsPerCall = 16;
+
+// Splits the leading number off a path, up to the next slash.
+bool ConsumeNumber(std::string* path, std::uint64_t* number) {
+  const std::vector<std::string> parts =
+      absl::StrSplit(*path, absl::MaxSplits('/', 1));
+  if (parts.size() != 2 || !absl::SimpleAtoi(parts[0], number)) return false;
+  *path = parts[1];
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeLedgerRows(const std::vector<KnownLedgerRow>& rows) {
+  return absl::StrJoin(
+      rows, std::string(1, kRowSeparator),
+      [](std::string* out, const KnownLedgerRow& row) {
+        absl::StrAppend(out, absl::WebSafeBase64Escape(row.customer.value()),
+                        ".", absl::WebSafeBase64Escape(row.key), ".",
+                        row.state.era, ".", row.state.number, ".",
+                        absl::WebSafeBase64Escape(row.value));
+      });
+}
+
+std::optional<std::vector<KnownLedgerRow>> DecodeLedgerRows(
+    const std::string& text) {
+  std::vector<KnownLedgerRow> rows;
+  for (const absl::string_view entry :
+       absl::StrSplit(text, kRowSeparator, absl::SkipEmpty())) {
+    const std::vector<absl::string_view> fields =
+        absl::StrSplit(entry, kFieldSeparator);
+    KnownLedgerRow row;
+    std::string customer;
+    if (fields.size() != kRowFields ||
+        !absl::WebSafeBase64Unescape(fields[0], &customer) ||
+        !absl::WebSafeBase64Unescape(fields[1], &row.key) ||
+        !absl::SimpleAtoi(fields[2], &row.state.era) ||
+        !absl::SimpleAtoi(fields[3], &row.state.number) ||
+        !absl::WebSafeBase64Unescape(fields[4], &row.value)) {
+      return std::nullopt;
+    }
+    row.customer = CustomerId(customer);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+// One collection of rows from all other instances.
+struct LedgerRowSync::Collection {
+  std::vector<CustomerId> customers;
+  std::uint64_t era = 0;
+  std::string path;
+  std::function<void(const RowsByCustomer&)> done;
+  // Instances that haven't answered yet, and those that didn't.
+  int pending = 0;
+  int missing = 0;
+  KnownLedgerRows rows;
+};
+
+LedgerRowSync::LedgerRowSync(LedgerRowSyncOptions options, PeerClient* client,
+                             Scheduler* scheduler, EventLog* log,
+                             LedgerRowSyncOwner* owner)
+    : options_(std::move(options)),
+      client_(client),
+      scheduler_(scheduler),
+      log_(log),
+      owner_(owner) {}
+
+void LedgerRowSync::Record(const std::vector<KnownLedgerRow>& rows) {
+  for (const KnownLedgerRow& row : rows) rows_.Record(row);
+}
+
+void LedgerRowSync::Collect(const std::vector<CustomerId>& customers,
+                            std::uint64_t era,
+                            std::function<void(const RowsByCustomer&)> done) {
+  for (std::size_t begin = 0; begin < customers.size();
+       begin += kMaxRowsPerCall) {
+    const auto collection = std::make_shared<Collection>();
+    collection->customers.assign(
+        customers.begin() + static_cast<std::ptrdiff_t>(begin),
+        customers.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                customers.size(), begin + kMaxRowsPerCall)));
+    collection->era = era;
+    collection->done = done;
+    collection->path = absl::StrCat(
+        kPeerKnownRowsPath, era, "/",
+        absl::WebSafeBase64Escape(options_.self.value()), "/",
+        absl::StrJoin(collection->customers, std::string(1, kRowSeparator),
+                      [](std::string* out, const CustomerId& customer) {
+                        absl::StrAppend(
+                            out, absl::WebSafeBase64Escape(customer.value()));
+                      }));
+    const std::vector<Endpoint> peers = owner_->OtherInstances();
+    collection->pending = static_cast<int>(peers.size()) + 1;
+    for (const Endpoint& peer : peers) {
+      AskForRows(collection, peer, options_.collection_tries);
+    }
+    scheduler_->After(absl::ZeroDuration(),
+                      [this, collection] { CompleteAnswer(collection); });
+  }
+}
+
+void LedgerRowSync::AskForRows(const std::shared_ptr<Collection>& collection,
+                               const Endpoint& peer, int tries) {
+  client_->Send(peer, collection->path, options_.collection_timeout,
+                [this, collection, peer,
+                 tries](const std::optional<PeerResponse>& response) {
+                  if (!response.has_value() && tries > 1) {
+                    scheduler_->After(options_.collection_retry_delay,
+                                      [this, collection, peer, tries] {
+                                        AskForRows(collection, peer, tries - 1);
+                                      });
+                    return;
+                  }
+                  const std::optional<std::vector<KnownLedgerRow>> rows =
+                      response.has_value() && response->accepted
+                          ? DecodeLedgerRows(response->body)
+                          : std::nullopt;
+                  if (!rows.has_value()) ++collection->missing;
+                  for (const KnownLedgerRow& row :
+                       rows.value_or(std::vector<KnownLedgerRow>{})) {
+                    collection->rows.Record(row);
+                  }
+                  CompleteAnswer(collection);
+                });
+}
+
+void LedgerRowSync::CompleteAnswer(
+    const std::shared_ptr<Collection>& collection) {
+  if (--collection->pending > 0) return;
+  RowsByCustomer known;
+  for (const CustomerId& customer : collection->customers) {
+    for (const KnownLedgerRow& row : rows_.RowsOf(customer)) {
+      collection->rows.Record(row);
+    }
+    known[customer] = collection->rows.RowsOf(customer);
+  }
+  log_->Write(
+      EventId::kLedgerRowsRecovered,
+      collection->missing > 0 ? Severity::kWarning : Severity::kInfo,
+      "collected the rows of the ledger that instances know; tokens are drawn "
+      "again",
+      {{"era", absl::StrCat(collection->era)},
+       {"customers", absl::StrCat(collection->customers.size())},
+       {"unanswered", absl::StrCat(collection->missing)}});
+  collection->done(known);
+}
+
+std::optional<std::string> LedgerRowSync::HandlePeerRequest(
+    const std::string& path) {
+  if (path.starts_with(kPeerKnownRowsPath)) {
+    return HandleCollection(
+        path.substr(std::string(kPeerKnownRowsPath).size()));
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> LedgerRowSync::HandleCollection(
+    const std::string& query) {
+  std::string rest = query;
+  std::uint64_t era = 0;
+  if (!ConsumeNumber(&rest, &era)) return std::nullopt;
+  const std::vector<std::string> parts =
+      absl::StrSplit(rest, absl::MaxSplits('/', 1));
+  std::string name;
+  if (parts.size() != 2 || !absl::WebSafeBase64Unescape(parts[0], &name)) {
+    return std::nullopt;
+  }
+  // From now on this instance uses no acknowledgement of an earlier era.
+  owner_->OnLedgerEra(era);
+  std::vector<KnownLedgerRow> known;
+  for (const absl::string_view text :
+       absl::StrSplit(parts[1], kRowSeparator, absl::SkipEmpty())) {
+    std::string customer;
+    if (!absl::WebSafeBase64Unescape(text, &customer)) return std::nullopt;
+    for (KnownLedgerRow& row : rows_.RowsOf(CustomerId(customer))) {
+      if (PrepaidLedger::IsPoolOrRowOf(row.key, name)) {
+        known.push_back(std::move(row));
+      }
+    }
+  }
+  return EncodeLedgerRows(known);
+}
+
+}  // namespace wisteriareel
--- a/src/router/ledger_transaction_sender.cc
+++ b/src/router/ledger_transaction_sender.cc
@@ -1,6 +1,7 @@
 #include "src/router/ledger_transaction_sender.h"
 
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 
@@ -24,10 +25,12 @@
 }  // namespace
 
 LedgerTransactionSender::LedgerTransactionSender(
-    PrepaidLedger* ledger, AsyncTable* table, Scheduler* scheduler,
-    EventLog* log, std::function<void(const CustomerId&)> changed)
+    PrepaidLedger* ledger, AsyncTable* table, LedgerRowSync* rows,
+    Scheduler* scheduler, EventLog* log,
+    std::function<void(const CustomerId&)> changed)
     : ledger_(ledger),
       table_(table),
+      rows_(rows),
       scheduler_(scheduler),
       log_(log),
       changed_(std::move(changed)) {}
@@ -38,6 +41,7 @@
 }
 
 void LedgerTransactionSender::RecordContact() {
+  ledger_->SetEra(table_->Era(), scheduler_->Now());
   const std::optional<TableContact> commit = table_->LastCommitContact();
   if (commit.has_value()) ledger_->RecordContact(commit->sent);
   const std::optional<TableContact> clock = table_->LastContact();
@@ -49,18 +53,53 @@
 void LedgerTransactionSender::SendDueTransactions() {
   RecordContact();
   if (!started_) return;
-  for (LedgerTransaction& entry :
+  for (const LedgerTransaction& entry :
        ledger_->TakeTransactions(scheduler_->Now())) {
-    table_->Commit(entry.transaction,
-                   [this, customer = entry.customer](const CommitReply& reply) {
-                     Complete(customer, reply);
-                   });
+    table_->Commit(entry.transaction, [this, entry](const CommitReply& reply) {
+      HandleReply(entry, reply);
+    });
   }
 }
 
+void LedgerTransactionSender::HandleReply(const LedgerTransaction& entry,
+                                          const CommitReply& reply) {
+  RecordContact();
+  const bool is_definite = reply.outcome == CommitOutcome::kCommitted ||
+                           reply.outcome == CommitOutcome::kConflict;
+  if (is_definite && reply.era < ledger_->era()) {
+    // The table was restored since: the reply says nothing about its rows.
+    Complete(entry.customer, {});
+    return;
+  }
+  if (!is_definite || reply.era == 0) {
+    Complete(entry.customer, reply);
+    return;
+  }
+  std::vector<PartitionRow> rows = reply.current;
+  if (reply.outcome == CommitOutcome::kCommitted) {
+    for (const PartitionRowWrite& write : entry.transaction.writes) {
+      rows.push_back({.key = write.key,
+                      .value = write.value.value_or(""),
+                      .version = reply.version});
+    }
+  }
+  std::vector<KnownLedgerRow> known;
+  for (const PartitionRow& row : rows) {
+    const TableVersion state = PrepaidLedger::StateOf(row);
+    // The transaction may have been void: it was planned before the table was
+    // restored and performed afterwards.
+    if (state.era != row.version.era) continue;
+    known.push_back({.customer = entry.customer,
+                     .key = row.key.key,
+                     .state = state,
+                     .value = row.value});
+  }
+  rows_->Record(known);
+  Complete(entry.customer, reply);
+}
+
 void LedgerTransactionSender::Complete(const CustomerId& customer,
                                        const CommitReply& reply) {
-  RecordContact();
   ledger_->CompleteTransaction(customer, reply, scheduler_->Now());
   const bool failed = reply.outcome == CommitOutcome::kRejected ||
                       reply.outcome == CommitOutcome::kUnknown;
--- a/src/router/ledger_transaction_sender.h
+++ b/src/router/ledger_transaction_sender.h
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 #include "src/forward/prepaid_ledger.h"
+#include "src/router/ledger_row_sync.h"
 #include "src/router/scheduler.h"
 #include "wisteriareel/async_table.h"
 #include "wisteriareel/event_log.h"
@@ -17,7 +18,8 @@
   // The pointers must outlive the sender. `changed` runs after each reply,
   // with the customer whose tokens the transaction changes.
   LedgerTransactionSender(PrepaidLedger* ledger, AsyncTable* table,
-                          Scheduler* scheduler, EventLog* log,
+                          LedgerRowSync* rows, Scheduler* scheduler,
+                          EventLog* log,
                           std::function<void(const CustomerId&)> changed);
 
   // Starts sending. No transaction is sent before this call.
@@ -29,10 +31,12 @@
  private:
   // Passes the latest contact with the platform to the ledger.
   void RecordContact();
+  void HandleReply(const LedgerTransaction& entry, const CommitReply& reply);
   void Complete(const CustomerId& customer, const CommitReply& reply);
 
   PrepaidLedger* const ledger_;
   AsyncTable* const table_;
+  LedgerRowSync* const rows_;
   Scheduler* const scheduler_;
   EventLog* const log_;
   const std::function<void(const CustomerId&)> changed_;
--- a/src/router/quarantine_sync.h
+++ b/src/router/quarantine_sync.h
@@ -105,7 +105,7 @@
   bool writing_ = false;
   bool change_scheduled_ = false;
   bool publication_scheduled_ = false;
-  std::uint64_t version_ = 0;
+  TableVersion version_;
   std::uint64_t handled_quarantines_ = 0;
 };
 
--- a/src/router/route_config_poller.cc
+++ b/src/router/route_config_poller.cc
@@ -28,7 +28,8 @@
               available ? Severity::kInfo : Severity::kWarning,
               available ? "configuration source available again"
                         : "reading the configuration failed; retrying",
-              {{"position", absl::StrCat(position_)}});
+              {{"era", absl::StrCat(position_.era)},
+               {"position", absl::StrCat(position_.number)}});
 }
 
 void RouteConfigPoller::ReadSnapshot() {
--- a/src/router/route_config_poller.h
+++ b/src/router/route_config_poller.h
@@ -59,7 +59,7 @@
   Scheduler* const scheduler_;
   EventLog* const log_;
   const std::function<void()> applied_;
-  std::uint64_t position_ = 0;
+  TableVersion position_;
   bool source_available_ = false;
   std::shared_ptr<const std::string> text_;
 };
--- a/src/router/token_plane.cc
+++ b/src/router/token_plane.cc
@@ -43,7 +43,10 @@
                  .address = options_.address},
                 dependencies.table, dependencies.scheduler,
                 static_cast<InstanceRegistryOwner*>(this)),
-      sender_(&ledger_, dependencies.table, dependencies.scheduler,
+      rows_({.self = options_.instance}, dependencies.peers,
+            dependencies.scheduler, dependencies.log,
+            static_cast<LedgerRowSyncOwner*>(this)),
+      sender_(&ledger_, dependencies.table, &rows_, dependencies.scheduler,
               dependencies.log,
               [this](const CustomerId& id) { OnLedgerChanged(id); }),
       loans_({.incarnation = options_.incarnation}, dependencies.peers,
@@ -74,6 +77,25 @@
   sender_.SendDueTransactions();
   loans_.RequestLoans();
   GatherTokens();
+  CollectRows();
+}
+
+void TokenPlane::CollectRows() {
+  const std::vector<CustomerId> customers = ledger_.TakeRecoveries();
+  if (customers.empty()) return;
+  const std::uint64_t era = ledger_.era();
+  rows_.Collect(
+      customers, era,
+      [this, era](const LedgerRowSync::RowsByCustomer& rows_by_customer) {
+        for (const auto& [customer, rows] : rows_by_customer) {
+          ledger_.CompleteRecovery(customer, era, rows, scheduler_->Now());
+          OnLedgerChanged(customer);
+        }
+      });
+}
+
+void TokenPlane::OnLedgerEra(std::uint64_t era) {
+  ledger_.SetEra(era, scheduler_->Now());
 }
 
 void TokenPlane::GatherTokens() {
@@ -117,8 +139,10 @@
     // requested from the platform or from other instances.
     sender_.SendDueTransactions();
     GatherTokens();
+    CollectRows();
     return loan;
   }
+  if (auto response = rows_.HandlePeerRequest(path)) return response;
   const std::string transfer_path(kPeerTransferPath);
   if (!path.starts_with(transfer_path) || draining_ ||
       !PeerLoans::AcceptTransfer(path.substr(transfer_path.size()), &ledger_)) {
@@ -139,6 +163,7 @@
   returning_tokens_ = true;
   loans_.TransferTokens();
   sender_.SendDueTransactions();
+  CollectRows();
 }
 
 void TokenPlane::OnInstancesCounted(int count) {
--- a/src/router/token_plane.h
+++ b/src/router/token_plane.h
@@ -11,6 +11,7 @@
 #include "src/forward/prepaid_ledger.h"
 #include "src/forward/route_config.h"
 #include "src/router/instance_registry.h"
+#include "src/router/ledger_row_sync.h"
 #include "src/router/ledger_transaction_sender.h"
 #include "src/router/peer_client.h"
 #include "src/router/peer_loans.h"
@@ -60,7 +61,8 @@
 // platform, the loans between instances, and the list of instances by which
 // they find each other. Opens no connections. Not thread-safe.
 class TokenPlane final : private InstanceRegistryOwner,
-                         private LoanPeerDirectory {
+                         private LoanPeerDirectory,
+                         private LedgerRowSyncOwner {
  public:
   TokenPlane(TokenPlaneOptions options,
              const TokenPlaneDependencies& dependencies);
@@ -111,6 +113,12 @@
 
   // Asks other instances to return tokens of customers whose pool is empty.
   void GatherTokens();
+  // Asks other instances for the rows that they know of customers whose rows in
+  // the table may be outdated.
+  void CollectRows();
+
+  void OnLedgerEra(std::uint64_t era) override;
+  std::vector<Endpoint> OtherInstances() const override { return Peers(); }
 
   std::optional<Endpoint> FindHomeInstance(
       const CustomerId& customer,
@@ -128,6 +136,7 @@
   const absl::Time started_;
   PrepaidLedger ledger_;
   InstanceRegistry registry_;
+  LedgerRowSync rows_;
   LedgerTransactionSender sender_;
   PeerLoans loans_;
   // The incarnations before this one, newest first.
--- a/src/runtime/async_http_client.cc
+++ b/src/runtime/async_http_client.cc
@@ -51,6 +51,7 @@
         idle_(std::move(idle)),
         done_(std::move(done)),
         timer_(*io),
+        response_field_(request.response_field),
         parser_options_({.max_body_bytes = request.max_response_bytes}) {
     parser_.emplace(parser_options_);
   }
@@ -170,6 +171,12 @@
     HttpResponse response{
         .status = static_cast<int>(parser_->head().result_int()),
         .body = parser_->TakeBody()};
+    if (!response_field_.empty()) {
+      const auto it = parser_->head().find(response_field_);
+      if (it != parser_->head().end()) {
+        response.field.emplace(it->value().data(), it->value().size());
+      }
+    }
     const bool reuse = parser_->keeps_connection() && buffer_.size() == 0 &&
                        !idle_->closed &&
                        idle_->sockets.size() < kMaxIdleConnections;
@@ -199,6 +206,7 @@
   std::unique_ptr<Socket> socket_;
   std::string request_;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
+  const std::string response_field_;
   const ResponseParser::Options parser_options_;
   std::optional<ResponseParser> parser_;
   int interim_responses_ = 0;
--- a/src/runtime/async_http_client.h
+++ b/src/runtime/async_http_client.h
@@ -19,6 +19,9 @@
 struct HttpResponse {
   int status = 0;
   std::string body;
+  // Value of the field that AsyncHttpClient::Request::response_field names;
+  // unset if the response doesn't have it.
+  std::optional<std::string> field;
 };
 
 // Sends HTTP requests to one endpoint without blocking. A connection serves one
@@ -37,6 +40,8 @@
     // arriving isn't cut off: a large one takes seconds on a slow link.
     absl::Duration timeout;
     std::size_t max_response_bytes = 64 << 20;
+    // Name of a field of the response to return; may be empty.
+    std::string response_field;
   };
 
   // `io` must outlive the client.
--- a/test/adapter_property_test.cc
+++ b/test/adapter_property_test.cc
@@ -82,9 +82,9 @@
   const std::string text = Mutate(
       R"({"ver":9,"now_ms":5,"more_pages":false,"rows":[{"table":"t",)"
       R"("part":"","key":"k","value":"eA==","ver":5},{"key":"j","ver":6}]})");
-  DecodeRows(text);
-  DecodeCommit(200, text);
-  DecodeCommit(412, text);
+  DecodeRows(text, 0);
+  DecodeCommit(200, text, 0);
+  DecodeCommit(412, text, 0);
 }
 
 RC_GTEST_PROP(ManifestCodecPropertyTest, NoManifestIsFatal, ()) {
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -199,7 +199,8 @@
       {"table":1,"part":[],"key":{},"value":"eA==","ver":"x"},
       7, null, [], {"table":"t","part":"","key":"k","value":5,"ver":3},
       {"table":"t","part":"","key":"bad","value":"*","ver":4},
-      {"table":"t","part":"","key":"good","value":"eA==","ver":5}]})");
+      {"table":"t","part":"","key":"good","value":"eA==","ver":5}]})",
+                               0);
   ASSERT_TRUE(page.has_value());
   ASSERT_FALSE(page->rows.rows.empty());
   EXPECT_EQ(page->rows.rows.back().key.key, "good");
@@ -207,43 +208,77 @@
 }
 
 TEST(StoreCodecTest, EncodesATransactionWithConditionsAndValues) {
-  const StoreRequest request =
-      EncodeCommit({.conditions = {{.key = {"t", "p", "k"}, .version = 3}},
-                    .writes = {{.key = {"t", "p", "k"}, .value = "v"},
-                               {.key = {"t", "p", "gone"}}}});
+  const StoreRequest request = EncodeCommit(
+      {.conditions = {{.key = {"t", "p", "k"}, .version = {.number = 3}}},
+       .writes = {{.key = {"t", "p", "k"}, .value = "v"},
+                  {.key = {"t", "p", "gone"}}}},
+      0);
   EXPECT_EQ(request.method, "POST");
   EXPECT_THAT(request.body, HasSubstr(R"("ver":3)"));
   EXPECT_THAT(request.body, HasSubstr(absl::Base64Escape("v")));
   EXPECT_THAT(request.body, HasSubstr(R"("key":"gone")"));
 }
 
+// A version of an earlier era may have been given to another row since.
+TEST(StoreCodecTest, AConditionOnAVersionOfAnotherEraNeverHolds) {
+  const StoreRequest request = EncodeCommit(
+      {.conditions = {{.key = {"t", "p", "a"}, .version = {.era = 1}},
+                      {.key = {"t", "p", "b"},
+                       .version = {.era = 2, .number = 7}}}},
+      /*era=*/2);
+  EXPECT_THAT(request.body, HasSubstr(R"("ver":9007199254740991)"));
+  EXPECT_THAT(request.body, HasSubstr(R"("ver":7)"));
+}
+
+TEST(StoreCodecTest, DecodesOnlyAPositiveEra) {
+  EXPECT_EQ(DecodeEra("12"), 12U);
+  for (const char* text :
+       {"", "0", "-1", "1.5", "x", "1 2", "99999999999999999999999"}) {
+    EXPECT_EQ(DecodeEra(text), std::nullopt) << text;
+  }
+}
+
+TEST(StoreCodecTest, VersionsAreOfTheEraOfTheResponse) {
+  const TableVersion expected{.era = 3, .number = 9};
+  EXPECT_EQ(DecodeCommit(200, R"({"ver":9})", 3).version, expected);
+  const auto page = DecodeRows(
+      R"({"rows":[{"table":"t","part":"","key":"a","value":"eA==","ver":9}],
+          "ver":9})",
+      3);
+  ASSERT_TRUE(page.has_value());
+  EXPECT_EQ(page->rows.version, expected);
+  EXPECT_EQ(page->rows.rows.at(0).version, expected);
+}
+
 TEST(StoreCodecTest, MapsEachCommitStatusToAnOutcome) {
-  EXPECT_EQ(DecodeCommit(200, R"({"ver":9,"now_ms":5})").outcome,
+  EXPECT_EQ(DecodeCommit(200, R"({"ver":9,"now_ms":5})", 0).outcome,
             CommitOutcome::kCommitted);
   const CommitReply conflict = DecodeCommit(
       412,
       R"({"rows":[{"table":"t","part":"p","key":"k","value":"dg==","ver":4},
-                  {"table":"t","part":"p","key":"x","ver":0}],"now_ms":5})");
+                  {"table":"t","part":"p","key":"x","ver":0}],"now_ms":5})",
+      0);
   EXPECT_EQ(conflict.outcome, CommitOutcome::kConflict);
   ASSERT_THAT(conflict.current, SizeIs(1));
   EXPECT_EQ(conflict.current[0].value, "v");
   EXPECT_EQ(conflict.platform_ms, 5);
-  EXPECT_EQ(DecodeCommit(503, "").outcome, CommitOutcome::kRejected);
-  EXPECT_EQ(DecodeCommit(429, "").outcome, CommitOutcome::kRejected);
-  EXPECT_EQ(DecodeCommit(500, "").outcome, CommitOutcome::kUnknown);
-  EXPECT_EQ(DecodeCommit(200, "{").outcome, CommitOutcome::kUnknown);
+  EXPECT_EQ(DecodeCommit(503, "", 0).outcome, CommitOutcome::kRejected);
+  EXPECT_EQ(DecodeCommit(429, "", 0).outcome, CommitOutcome::kRejected);
+  EXPECT_EQ(DecodeCommit(500, "", 0).outcome, CommitOutcome::kUnknown);
+  EXPECT_EQ(DecodeCommit(200, "{", 0).outcome, CommitOutcome::kUnknown);
 }
 
 TEST(StoreCodecTest, SkipsRowsWithMalformedValues) {
   const auto page = DecodeRows(
       R"({"rows":[{"table":"t","part":"","key":"a","value":"!!","ver":1},
                   {"table":"t","part":"","key":"b","removed":true,"ver":2}],
-          "ver":2,"more_pages":true})");
+          "ver":2,"more_pages":true})",
+      0);
   ASSERT_TRUE(page.has_value());
   ASSERT_THAT(page->rows.rows, SizeIs(1));
   EXPECT_TRUE(page->rows.rows[0].deleted);
   EXPECT_TRUE(page->more);
-  EXPECT_EQ(DecodeRows("{}"), std::nullopt);
+  EXPECT_EQ(DecodeRows("{}", 0), std::nullopt);
 }
 
 RequestHead MakeCallerRequestHead() {
--- a/test/fake_partition.h
+++ b/test/fake_partition.h
@@ -19,15 +19,18 @@
   CommitReply Commit(const PartitionTransaction& transaction) {
     for (const PartitionRowCondition& condition : transaction.conditions) {
       const auto it = rows_.find(condition.key);
-      const std::uint64_t version = it == rows_.end() ? 0 : it->second.version;
+      const TableVersion version =
+          it == rows_.end() ? TableVersion{} : it->second.version;
       if (version != condition.version) return Conflict(transaction);
     }
     ++version_;
     for (const PartitionRowWrite& write : transaction.writes) {
-      rows_[write.key] = {
-          .key = write.key, .value = *write.value, .version = version_};
+      rows_[write.key] = {.key = write.key,
+                          .value = *write.value,
+                          .version = {.number = version_}};
     }
-    return {.outcome = CommitOutcome::kCommitted, .version = version_};
+    return {.outcome = CommitOutcome::kCommitted,
+            .version = {.number = version_}};
   }
 
  private:
--- a/test/quarantine_sync_test.cc
+++ b/test/quarantine_sync_test.cc
@@ -37,6 +37,7 @@
 
   void SetAvailable(bool available) { available_ = available; }
 
+  std::uint64_t Era() const override { return 0; }
   std::optional<TableContact> LastContact() const override { return contact_; }
   std::optional<TableContact> LastCommitContact() const override {
     return contact_;
@@ -56,10 +57,12 @@
           rows_->rows.erase(write.key);
           continue;
         }
-        rows_->rows[write.key] = {
-            .key = write.key, .value = *write.value, .version = rows_->version};
+        rows_->rows[write.key] = {.key = write.key,
+                                  .value = *write.value,
+                                  .version = {.number = rows_->version}};
       }
-      done({.outcome = CommitOutcome::kCommitted, .version = rows_->version});
+      done({.outcome = CommitOutcome::kCommitted,
+            .version = {.number = rows_->version}});
       for (auto& poll : std::exchange(rows_->polls, {})) poll();
     });
   }
@@ -74,14 +77,14 @@
       done(RowsAfter(0), LastReason());
     });
   }
-  void PollChanges(const std::string& table, std::uint64_t version,
+  void PollChanges(const std::string& table, const TableVersion& version,
                    absl::Duration wait, PollDone done) override {
     scheduler_->After(kTableTime, [=, this, done = std::move(done)] {
       if (!available_) {
         done({}, LastReason());
         return;
       }
-      RowsReply changes = RowsAfter(version);
+      RowsReply changes = RowsAfter(version.number);
       if (changes.rows.empty()) {
         rows_->polls.push_back(
             [=, this] { PollChanges(table, version, wait, done); });
@@ -100,9 +103,9 @@
         .received = scheduler_->Now()};
   }
   RowsReply RowsAfter(std::uint64_t version) const {
-    RowsReply reply{.version = rows_->version};
+    RowsReply reply{.version = {.number = rows_->version}};
     for (const auto& [key, row] : rows_->rows) {
-      if (row.version > version) reply.rows.push_back(row);
+      if (row.version.number > version) reply.rows.push_back(row);
     }
     return reply;
   }
--- a/test/rate_limit_sync_test.cc
+++ b/test/rate_limit_sync_test.cc
@@ -81,6 +81,7 @@
   std::optional<TableContact> LastCommitContact() const override {
     return LastContact();
   }
+  std::uint64_t Era() const override { return 0; }
   std::optional<TableContact> LastContact() const override {
     return TableContact{.platform_ms = absl::ToUnixMillis(scheduler_->Now()),
                         .sent = scheduler_->Now(),
@@ -91,12 +92,13 @@
     CommitReply reply{.outcome = CommitOutcome::kUnknown};
     if (!rejects_writes) {
       reply.outcome = CommitOutcome::kCommitted;
-      reply.version = ++version_;
+      reply.version = {.number = ++version_};
       for (const PartitionRowWrite& write : transaction.writes) {
         if (write.value.has_value()) {
           ++writes[write.key.key];
-          rows[write.key.key] = {
-              .key = write.key, .value = *write.value, .version = version_};
+          rows[write.key.key] = {.key = write.key,
+                                 .value = *write.value,
+                                 .version = {.number = version_}};
         } else {
           rows.erase(write.key.key);
         }
@@ -107,14 +109,15 @@
   }
   void Read(const std::string& /*table*/, const std::string& /*partition*/,
             ReadDone done) override {
-    RowsReply reply{.version = version_};
+    RowsReply reply{.version = {.number = version_}};
     for (const auto& [key, row] : rows) reply.rows.push_back(row);
     scheduler_->After(absl::Milliseconds(5), [done = std::move(done), reply] {
       done(reply, LastReason());
     });
   }
-  void PollChanges(const std::string& /*table*/, std::uint64_t /*version*/,
-                   absl::Duration /*wait*/, PollDone /*done*/) override {}
+  void PollChanges(const std::string& /*table*/,
+                   const TableVersion& /*version*/, absl::Duration /*wait*/,
+                   PollDone /*done*/) override {}
 
   bool rejects_writes = false;
   std::map<std::string, PartitionRow> rows;
@@ -184,7 +187,7 @@
     row.key.table = "members";
     row.key.key = absl::StrCat("limits/", instance);
     row.value = report;
-    row.version = 1;
+    row.version = {.number = 1};
     table_.rows[row.key.key] = row;
   }
 
--- a/test/router_components_test.cc
+++ b/test/router_components_test.cc
@@ -27,9 +27,9 @@
 class ScriptedSource final : public DeploymentSource {
  public:
   void ReadConfig(ConfigDone done) override { read = std::move(done); }
-  void PollConfig(std::uint64_t position, absl::Duration /*wait*/,
+  void PollConfig(const TableVersion& position, absl::Duration /*wait*/,
                   ConfigPollDone done) override {
-    polled_from = position;
+    polled_from = position.number;
     poll = std::move(done);
   }
   void ListTargets(TargetsDone done) override { list = std::move(done); }
@@ -70,8 +70,9 @@
                : router_.table()->config().revision.value();
   }
   void CompleteRead(std::uint64_t revision, std::uint64_t position) {
-    std::exchange(source_.read, nullptr)(PositionedConfig{
-        .config = ScriptedSource::MakeConfig(revision), .position = position});
+    std::exchange(source_.read, nullptr)(
+        PositionedConfig{.config = ScriptedSource::MakeConfig(revision),
+                         .position = {.number = position}});
   }
   void CompletePoll(const ConfigPollResult& result) {
     std::exchange(source_.poll, nullptr)(result);
@@ -88,9 +89,9 @@
   CompleteRead(5, 100);
   EXPECT_EQ(Revision(), 5U);
   EXPECT_EQ(source_.polled_from, 100U);
-  CompletePoll(
-      {.outcome = ConfigPollResult::Outcome::kRead,
-       .snapshot = {.config = ScriptedSource::MakeConfig(8), .position = 130}});
+  CompletePoll({.outcome = ConfigPollResult::Outcome::kRead,
+                .snapshot = {.config = ScriptedSource::MakeConfig(8),
+                             .position = {.number = 130}}});
   EXPECT_EQ(Revision(), 8U);
   EXPECT_EQ(source_.polled_from, 130U);
   EXPECT_EQ(applied_, 2);
@@ -123,9 +124,9 @@
   EXPECT_TRUE(poller_.ApplyPeerConfig("7"));
   EXPECT_EQ(Revision(), 7U);
   // The result of the pending poll is older than the configuration of the peer.
-  CompletePoll(
-      {.outcome = ConfigPollResult::Outcome::kRead,
-       .snapshot = {.config = ScriptedSource::MakeConfig(6), .position = 130}});
+  CompletePoll({.outcome = ConfigPollResult::Outcome::kRead,
+                .snapshot = {.config = ScriptedSource::MakeConfig(6),
+                             .position = {.number = 130}}});
   EXPECT_EQ(Revision(), 7U);
 }
 
@@ -135,7 +136,7 @@
   scheduler_.Advance(absl::Seconds(5));
   EXPECT_TRUE(router_.IsStale(scheduler_.Now()));
   CompletePoll({.outcome = ConfigPollResult::Outcome::kRead,
-                .snapshot = {.position = 100}});
+                .snapshot = {.position = {.number = 100}}});
   EXPECT_FALSE(router_.IsStale(scheduler_.Now()));
 }
 
@@ -213,6 +214,7 @@
   std::optional<TableContact> LastCommitContact() const override {
     return LastContact();
   }
+  std::uint64_t Era() const override { return 0; }
   std::optional<TableContact> LastContact() const override {
     return std::nullopt;
   }
@@ -227,8 +229,9 @@
     ++version_;
     for (const PartitionRowWrite& write : transaction.writes) {
       if (write.value.has_value()) {
-        rows_[write.key.key] = {
-            .key = write.key, .value = *write.value, .version = version_};
+        rows_[write.key.key] = {.key = write.key,
+                                .value = *write.value,
+                                .version = {.number = version_}};
       } else {
         rows_.erase(write.key.key);
       }
@@ -245,14 +248,15 @@
       });
       return;
     }
-    RowsReply reply{.version = version_};
+    RowsReply reply{.version = {.number = version_}};
     for (const auto& [key, row] : rows_) reply.rows.push_back(row);
     scheduler_->After(absl::Milliseconds(5), [done = std::move(done), reply] {
       done(reply, LastReason());
     });
   }
-  void PollChanges(const std::string& /*table*/, std::uint64_t /*version*/,
-                   absl::Duration /*wait*/, PollDone /*done*/) override {}
+  void PollChanges(const std::string& /*table*/,
+                   const TableVersion& /*version*/, absl::Duration /*wait*/,
+                   PollDone /*done*/) override {}
 
   bool unavailable = false;
   bool rejects_writes = false;
--- a/test/router_daemon_fixture.h
+++ b/test/router_daemon_fixture.h
@@ -40,6 +40,7 @@
   std::optional<TableContact> LastCommitContact() const override {
     return LastContact();
   }
+  std::uint64_t Era() const override { return 0; }
   std::optional<TableContact> LastContact() const override {
     const absl::Time now = SystemClock()->Now();
     return TableContact{
@@ -52,17 +53,18 @@
     CommitReply reply{.outcome = CommitOutcome::kCommitted};
     for (const PartitionRowCondition& condition : transaction.conditions) {
       const auto it = rows_.find(condition.key);
-      const std::uint64_t version = it == rows_.end() ? 0 : it->second.version;
+      const TableVersion version =
+          it == rows_.end() ? TableVersion{} : it->second.version;
       if (it != rows_.end()) reply.current.push_back(it->second);
       if (version != condition.version)
         reply.outcome = CommitOutcome::kConflict;
     }
     if (reply.outcome == CommitOutcome::kCommitted) {
-      reply.version = ++version_;
+      reply.version = {.number = ++version_};
       for (const PartitionRowWrite& write : transaction.writes) {
         rows_[write.key] = {.key = write.key,
                             .value = write.value.value_or(""),
-                            .version = version_};
+                            .version = {.number = version_}};
       }
       for (auto& poll : std::exchange(polls_, {})) poll();
     }
@@ -70,16 +72,16 @@
   }
   void Read(const std::string& table, const std::string& /*partition*/,
             ReadDone done) override {
-    RowsReply reply{.version = version_};
+    RowsReply reply{.version = {.number = version_}};
     for (const auto& [key, row] : rows_) {
       if (key.table == table) reply.rows.push_back(row);
     }
     boost::asio::post(
         *io_, [done = std::move(done), reply] { done(reply, LastReason()); });
   }
-  void PollChanges(const std::string& table, std::uint64_t version,
+  void PollChanges(const std::string& table, const TableVersion& version,
                    absl::Duration /*wait*/, PollDone done) override {
-    RowsReply changes{.version = version_};
+    RowsReply changes{.version = {.number = version_}};
     for (const auto& [key, row] : rows_) {
       if (key.table == table && row.version > version) {
         changes.rows.push_back(row);
@@ -122,7 +124,7 @@
     boost::asio::post(*io_,
                       [done = std::move(done), reading] { done(reading); });
   }
-  void PollConfig(std::uint64_t /*position*/, absl::Duration wait,
+  void PollConfig(const TableVersion& /*position*/, absl::Duration wait,
                   ConfigPollDone done) override {
     const auto timer = std::make_shared<boost::asio::steady_timer>(
         *io_, absl::ToChronoMilliseconds(wait));
--- a/test/router_tests.cmake
+++ b/test/router_tests.cmake
@@ -6,6 +6,7 @@
   LIBRARIES wisteriareel_adapter wisteriareel_router rapidcheck rapidcheck_gtest)
 wisteriareel_test(router_components_test LIBRARIES wisteriareel_router)
 wisteriareel_test(token_plane_test LIBRARIES wisteriareel_router)
+wisteriareel_test(token_fleet_restore_test LIBRARIES token_fleet)
 wisteriareel_test(quarantine_sync_test LIBRARIES wisteriareel_router)
 wisteriareel_test(rate_limit_sync_test LIBRARIES wisteriareel_router)
 wisteriareel_test(router_daemon_test LIBRARIES wisteriareel_adapter)
--- a/test/token_fleet.cc
+++ b/test/token_fleet.cc
@@ -80,34 +80,60 @@
 // The rows of the store, by partition.
 class Store {
  public:
-  CommitReply Commit(const PartitionTransaction& transaction, absl::Time now) {
+  std::uint64_t era() const { return era_; }
+
+  // Goes back to the rows and the version of `since`.
+  void Restore(absl::Time since) {
+    while (!changes_.empty() && changes_.back().at >= since) {
+      Change& change = changes_.back();
+      if (change.before.has_value()) {
+        rows_[change.key] = *std::move(change.before);
+      } else {
+        rows_.erase(change.key);
+      }
+      version_ = change.version - 1;
+      changes_.pop_back();
+    }
+    ++era_;
+    for (auto& [key, row] : rows_) row.version.era = era_;
+  }
+
+  // `era` is the one in which the sender knows the store to be.
+  CommitReply Commit(const PartitionTransaction& transaction, std::uint64_t era,
+                     absl::Time now) {
     CommitReply reply{.outcome = CommitOutcome::kCommitted,
+                      .era = era_,
                       .platform_ms = absl::ToUnixMillis(now)};
     for (const PartitionRowCondition& condition : transaction.conditions) {
       const auto it = rows_.find(condition.key);
-      const std::uint64_t version = it == rows_.end() ? 0 : it->second.version;
+      // The sender doesn't send a condition on a version of an earlier era.
+      const bool holds =
+          condition.version.era == era &&
+          condition.version.number ==
+              (it == rows_.end() ? 0 : it->second.version.number);
       if (it != rows_.end()) reply.current.push_back(it->second);
-      if (version != condition.version) {
-        reply.outcome = CommitOutcome::kConflict;
-      }
+      if (!holds) reply.outcome = CommitOutcome::kConflict;
     }
     if (reply.outcome == CommitOutcome::kConflict) return reply;
     reply.current.clear();
-    reply.version = ++version_;
+    reply.version = {.era = era_, .number = ++version_};
     for (const PartitionRowWrite& write : transaction.writes) {
+      const auto it = rows_.find(write.key);
+      changes_.push_back({.at = now, .version = version_, .key = write.key});
+      if (it != rows_.end()) changes_.back().before = it->second;
       if (!write.value.has_value()) {
         rows_.erase(write.key);
         continue;
       }
       rows_[write.key] = {
-          .key = write.key, .value = *write.value, .version = version_};
+          .key = write.key, .value = *write.value, .version = reply.version};
     }
     return reply;
   }
 
   RowsReply Read(const std::string& table, const std::string& partition,
                  absl::Time now) const {
-    RowsReply reply{.version = version_,
+    RowsReply reply{.version = {.era = era_, .number = version_},
                     .platform_ms = absl::ToUnixMillis(now)};
     for (auto it = rows_.lower_bound(
              {.table = table, .partition = partition, .key = ""});
@@ -130,8 +156,18 @@
   }
 
  private:
+  // A change, with what it replaced.
+  struct Change {
+    absl::Time at;
+    std::uint64_t version = 0;
+    PartitionRowKey key;
+    std::optional<PartitionRow> before;
+  };
+
+  std::uint64_t era_ = 1;
   std::uint64_t version_ = 0;
   std::map<PartitionRowKey, PartitionRow> rows_;
+  std::vector<Change> changes_;
   std::map<std::string, absl::Time> busy_until_;
 };
 
@@ -165,6 +201,7 @@
   absl::Time Now() const override;
   void After(absl::Duration delay, std::function<void()> run) override;
 
+  std::uint64_t Era() const override { return era_; }
   std::optional<TableContact> LastContact() const override { return contact_; }
   std::optional<TableContact> LastCommitContact() const override {
     return commit_contact_;
@@ -173,7 +210,7 @@
               CommitDone done) override;
   void Read(const std::string& table, const std::string& partition,
             ReadDone done) override;
-  void PollChanges(const std::string&, std::uint64_t, absl::Duration,
+  void PollChanges(const std::string&, const TableVersion&, absl::Duration,
                    PollDone) override {}
 
   void Send(const Endpoint& peer, const std::string& path,
@@ -193,12 +230,19 @@
   void ContinueShutdown();
   void RecordContact(std::optional<std::int64_t> platform_ms, absl::Time sent,
                      std::optional<TableContact>* contact) const;
+  // Returns false if a reply of `era` can't be used.
+  bool RecordEra(std::uint64_t era) {
+    const bool usable = era >= era_;
+    era_ = std::max(era_, era);
+    return usable;
+  }
 
   Fleet* const fleet_;
   const int index_;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   const std::unique_ptr<RandomSource> random_;
   CommitTimeout commit_timeout_;
+  std::uint64_t era_ = 0;
   std::optional<TableContact> contact_;
   std::optional<TableContact> commit_contact_;
   TokenPlane plane_;
@@ -270,7 +314,7 @@
   int ZoneOf(int instance) const { return instance % options_.zones; }
 
   bool ReachesStore(int n) const {
-    return !isolated_.contains(n) && !store_cut_.contains(n) &&
+    return !store_away_ && !isolated_.contains(n) && !store_cut_.contains(n) &&
            cut_zone_ != ZoneOf(n);
   }
   bool Rejected(int n) const { return rejected_.contains(n); }
@@ -331,6 +375,7 @@
 
   void RestartLater(int n, absl::Duration delay) {
     processes_[static_cast<std::size_t>(n)].reset();
+    if (removed_.contains(n)) return;
     queue_.At(queue_.now() + delay, [this, n] { StartProcess(n); });
   }
 
@@ -459,9 +504,11 @@
           Kill(n, fault.duration * (0.9 + 0.2 * random_->Fraction()));
         }
         return;
+      case FleetFaultKind::kRemoved:
       case FleetFaultKind::kRestarted: {
         absl::Duration after = absl::ZeroDuration();
         for (const int n : Pick(options_.instances, fault.share)) {
+          if (fault.kind == FleetFaultKind::kRemoved) removed_.insert(n);
           queue_.At(queue_.now() + after, [this, n] {
             if (process(n) != nullptr) process(n)->BeginShutdown();
           });
@@ -478,6 +525,15 @@
       case FleetFaultKind::kToppedUp:
         TopUp(fault.share);
         return;
+      case FleetFaultKind::kStoreRestored: {
+        const absl::Time since = queue_.now() - absl::Seconds(fault.factor);
+        store_away_ = true;
+        queue_.At(end, [this, since] {
+          store_.Restore(since);
+          store_away_ = false;
+        });
+        return;
+      }
     }
   }
 
@@ -549,6 +605,8 @@
   std::vector<int> incarnations_;
   std::int64_t calls_counted_ = 0;
 
+  bool store_away_ = false;
+  std::set<int> removed_;
   std::set<int> isolated_;
   std::set<int> store_cut_;
   std::set<int> rejected_;
@@ -606,10 +664,15 @@
   const absl::Time sent = Now();
   const auto pending = std::make_shared<bool>(true);
   // Runs at most once: with the reply or at the timeout.
-  const auto finish = [this, sent, pending, done](const CommitReply& reply,
-                                                  bool replied) {
+  const auto finish = [this, sent, sent_era = era_, pending, done](
+                          CommitReply reply, bool replied) {
     if (!std::exchange(*pending, false)) return;
     commit_timeout_.Record(Now() - sent, replied);
+    if (reply.era != 0 && !RecordEra(reply.era)) reply = {};
+    if (reply.outcome == CommitOutcome::kCommitted && sent_era != 0 &&
+        sent_era != reply.era) {
+      reply = {};
+    }
     if (reply.outcome == CommitOutcome::kConflict) {
       ++fleet_->result().conflicts;
     }
@@ -637,8 +700,8 @@
   }
   // The write takes effect even if the process ends before the reply.
   const auto reply = std::make_shared<CommitReply>();
-  fleet_->queue().At(*at, [fleet = fleet_, transaction, reply] {
-    *reply = fleet->store().Commit(transaction, fleet->queue().now());
+  fleet_->queue().At(*at, [fleet = fleet_, transaction, era = era_, reply] {
+    *reply = fleet->store().Commit(transaction, era, fleet->queue().now());
   });
   if (fleet_->LoseReply()) return;
   After(*at + latency - sent, [this, finish, reply] {
@@ -654,6 +717,7 @@
   const auto finish = [this, sent, pending,
                        done](std::optional<RowsReply> rows) {
     if (!std::exchange(*pending, false)) return;
+    if (rows.has_value() && !RecordEra(rows->version.era)) rows.reset();
     if (rows.has_value()) RecordContact(rows->platform_ms, sent, &contact_);
     done(std::move(rows), LastReason());
   };
--- a/test/token_fleet.h
+++ b/test/token_fleet.h
@@ -33,6 +33,11 @@
   kHotCustomer,
   // The budgets of a `share` of the customers grow by a quarter.
   kToppedUp,
+  // Processes are stopped gracefully and don't start again.
+  kRemoved,
+  // The store is away for `duration` and comes back from a copy that was
+  // `factor` seconds old when it went away.
+  kStoreRestored,
 };
 
 struct FleetFault {
--- a/test/token_plane_test.cc
+++ b/test/token_plane_test.cc
@@ -54,6 +54,7 @@
   ProcessTable(Platform* platform, Scheduler* scheduler)
       : platform_(platform), scheduler_(scheduler) {}
 
+  std::uint64_t Era() const override { return 0; }
   std::optional<TableContact> LastContact() const override { return contact_; }
   std::optional<TableContact> LastCommitContact() const override {
     return commit_contact_;
@@ -90,8 +91,9 @@
       done(reply, LastReason());
     });
   }
-  void PollChanges(const std::string& /*table*/, std::uint64_t /*version*/,
-                   absl::Duration /*wait*/, PollDone /*done*/) override {}
+  void PollChanges(const std::string& /*table*/,
+                   const TableVersion& /*version*/, absl::Duration /*wait*/,
+                   PollDone /*done*/) override {}
 
  private:
   TableContact Contact() const {
