Copy committed rows of the ledger before their tokens are used

Cause: only the table service was told of a draw before its tokens were used.

Ruled out: a reserve for the age of a copy, since nothing bounds that age; handing over the rows at a planned stop only, since a kill shows the same.

An instance that knows a later era refuses the copy, which makes the commit void. A commit whose reply was lost is copied when a conflict shows it. An instance that leaves hands over what it knows.

--- a/src/router/ledger_row_sync.cc
+++ b/src/router/ledger_row_sync.cc
@@ -1,6 +1,7 @@
 #include "src/router/ledger_row_sync.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "absl/strings/escaping.h"
@@ -66,6 +67,20 @@
   return rows;
 }
 
+// The copies of the rows of one transaction.
+struct LedgerRowSync::CopyRound {
+  CustomerId customer;
+  std::uint64_t era = 0;
+  std::string path;
+  std::function<void(bool)> done;
+  int rounds = 0;
+  // Calls without a result yet.
+  int pending = 0;
+  int recorded = 0;
+  bool is_void = false;
+  std::set<Endpoint> asked;
+};
+
 // One collection of rows from all other instances.
 struct LedgerRowSync::Collection {
   std::vector<CustomerId> customers;
@@ -91,6 +106,87 @@
   for (const KnownLedgerRow& row : rows) rows_.Record(row);
 }
 
+void LedgerRowSync::Copy(const std::vector<KnownLedgerRow>& rows,
+                         std::function<void(bool)> done) {
+  Record(rows);
+  const auto round = std::make_shared<CopyRound>();
+  round->customer = rows.front().customer;
+  round->era = owner_->LedgerEra();
+  round->path =
+      absl::StrCat(kPeerRowCopyPath, round->era, "/", EncodeLedgerRows(rows));
+  round->done = std::move(done);
+  StartCopyRound(round);
+}
+
+void LedgerRowSync::StartCopyRound(const std::shared_ptr<CopyRound>& round) {
+  ++round->rounds;
+  round->pending = 1;
+  int chosen = 0;
+  int unresponsive = 0;
+  for (const Endpoint& peer : owner_->RankInstances(round->customer)) {
+    if (chosen == options_.copies) break;
+    if (!round->asked.insert(peer).second) continue;
+    if (IsUnresponsive(peer)) {
+      // It may be back, but nobody waits for it.
+      if (++unresponsive <= options_.copies) {
+        SendCopy(peer, round->path, [](std::optional<std::uint64_t>) {});
+      }
+      continue;
+    }
+    ++chosen;
+    ++round->pending;
+    SendCopy(peer, round->path,
+             [this, round](std::optional<std::uint64_t> era) {
+               if (era > round->era) {
+                 round->is_void = true;
+                 owner_->OnLedgerEra(*era);
+               } else if (era.has_value()) {
+                 ++round->recorded;
+               }
+               CompleteCopy(round);
+             });
+  }
+  // Nobody else is left to ask.
+  if (chosen == 0) round->rounds = options_.copy_rounds;
+  scheduler_->After(absl::ZeroDuration(),
+                    [this, round] { CompleteCopy(round); });
+}
+
+bool LedgerRowSync::IsUnresponsive(const Endpoint& peer) const {
+  const auto it = unresponsive_until_.find(peer);
+  return it != unresponsive_until_.end() && it->second > scheduler_->Now();
+}
+
+void LedgerRowSync::SendCopy(
+    const Endpoint& peer, const std::string& path,
+    std::function<void(std::optional<std::uint64_t>)> done) {
+  client_->Send(peer, path, options_.copy_timeout,
+                [this, peer, done = std::move(done)](
+                    const std::optional<PeerResponse>& response) {
+                  if (!response.has_value()) {
+                    unresponsive_until_[peer] =
+                        scheduler_->Now() + options_.unresponsive_backoff;
+                    done(std::nullopt);
+                    return;
+                  }
+                  unresponsive_until_.erase(peer);
+                  std::uint64_t era = 0;
+                  const bool recorded = response->accepted &&
+                                        absl::SimpleAtoi(response->body, &era);
+                  done(recorded ? std::optional(era) : std::nullopt);
+                });
+}
+
+void LedgerRowSync::CompleteCopy(const std::shared_ptr<CopyRound>& round) {
+  if (--round->pending > 0) return;
+  if (!round->is_void && round->recorded == 0 &&
+      round->rounds < options_.copy_rounds) {
+    StartCopyRound(round);
+    return;
+  }
+  round->done(!round->is_void);
+}
+
 void LedgerRowSync::Collect(const std::vector<CustomerId>& customers,
                             std::uint64_t era,
                             std::function<void(const RowsByCustomer&)> done) {
@@ -167,8 +263,32 @@
   collection->done(known);
 }
 
+void LedgerRowSync::HandOver() {
+  std::map<CustomerId, std::vector<KnownLedgerRow>> by_customer;
+  for (const KnownLedgerRow& row : rows_.AllRows()) {
+    by_customer[row.customer].push_back(row);
+  }
+  for (const auto& [customer, rows] : by_customer) {
+    for (std::size_t begin = 0; begin < rows.size(); begin += kMaxRowsPerCall) {
+      const std::vector<KnownLedgerRow> part(
+          rows.begin() + static_cast<std::ptrdiff_t>(begin),
+          rows.begin() + static_cast<std::ptrdiff_t>(
+                             std::min(rows.size(), begin + kMaxRowsPerCall)));
+      Copy(part, [](bool) {});
+    }
+  }
+}
+
 std::optional<std::string> LedgerRowSync::HandlePeerRequest(
     const std::string& path) {
+  if (path.starts_with(kPeerRowCopyPath)) {
+    std::string query = path.substr(std::string(kPeerRowCopyPath).size());
+    std::uint64_t era = 0;
+    if (!ConsumeNumber(&query, &era)) return std::nullopt;
+    const auto rows = DecodeLedgerRows(query);
+    if (!rows.has_value()) return std::nullopt;
+    return HandleCopy(era, *rows);
+  }
   if (path.starts_with(kPeerKnownRowsPath)) {
     return HandleCollection(
         path.substr(std::string(kPeerKnownRowsPath).size()));
@@ -176,6 +296,18 @@
   return std::nullopt;
 }
 
+std::string LedgerRowSync::HandleCopy(std::uint64_t era,
+                                      const std::vector<KnownLedgerRow>& rows) {
+  owner_->OnLedgerEra(era);
+  const std::uint64_t own_era = owner_->LedgerEra();
+  // Rows of an earlier era come too late: what was known in it may have been
+  // collected already.
+  if (own_era <= era) {
+    Record(rows);
+  }
+  return absl::StrCat(own_era);
+}
+
 std::optional<std::string> LedgerRowSync::HandleCollection(
     const std::string& query) {
   std::string rest = query;
--- a/src/router/ledger_transaction_sender.cc
+++ b/src/router/ledger_transaction_sender.cc
@@ -1,5 +1,6 @@
 #include "src/router/ledger_transaction_sender.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -76,12 +77,20 @@
     return;
   }
   std::vector<PartitionRow> rows = reply.current;
-  if (reply.outcome == CommitOutcome::kCommitted) {
-    for (const PartitionRowWrite& write : entry.transaction.writes) {
-      rows.push_back({.key = write.key,
-                      .value = write.value.value_or(""),
-                      .version = reply.version});
+  bool was_performed = reply.outcome == CommitOutcome::kCommitted;
+  for (const PartitionRowWrite& write : entry.transaction.writes) {
+    PartitionRow row{.key = write.key,
+                     .value = write.value.value_or(""),
+                     .version = reply.version};
+    if (reply.outcome == CommitOutcome::kCommitted) {
+      rows.push_back(std::move(row));
+      continue;
     }
+    // It was sent before, and the reply was lost.
+    was_performed |= std::any_of(
+        rows.begin(), rows.end(), [&row](const PartitionRow& current) {
+          return current.key == row.key && current.value == row.value;
+        });
   }
   std::vector<KnownLedgerRow> known;
   for (const PartitionRow& row : rows) {
@@ -94,8 +103,14 @@
                      .state = state,
                      .value = row.value});
   }
-  rows_->Record(known);
-  Complete(entry.customer, reply);
+  if (!was_performed || known.empty()) {
+    rows_->Record(known);
+    Complete(entry.customer, reply);
+    return;
+  }
+  rows_->Copy(known, [this, customer = entry.customer, reply](bool is_valid) {
+    Complete(customer, is_valid ? reply : CommitReply{});
+  });
 }
 
 void LedgerTransactionSender::Complete(const CustomerId& customer,
--- a/src/router/ledger_transaction_sender.h
+++ b/src/router/ledger_transaction_sender.h
@@ -12,7 +12,9 @@
 
 namespace wisteriareel {
 
-// Commits the ledger's transactions to the platform's table. Not thread-safe.
+// Commits the ledger's transactions to the platform's table. While the table
+// states eras, the ledger learns of a commit once other instances know the
+// rows, so that none of its tokens is used before. Not thread-safe.
 class LedgerTransactionSender {
  public:
   // The pointers must outlive the sender. `changed` runs after each reply,
--- a/src/router/token_plane.cc
+++ b/src/router/token_plane.cc
@@ -158,6 +158,11 @@
   return peers;
 }
 
+void TokenPlane::Leave() {
+  rows_.HandOver();
+  registry_.Leave();
+}
+
 void TokenPlane::ReturnTokens() {
   if (!returning_tokens_) ledger_.StartReturningTokens();
   returning_tokens_ = true;
--- a/src/router/token_plane.h
+++ b/src/router/token_plane.h
@@ -94,7 +94,7 @@
   bool IsSettled() const { return ledger_.IsSettled(); }
 
   // Removes this instance from the list of instances.
-  void Leave() { registry_.Leave(); }
+  void Leave();
 
  private:
   void Tick();
@@ -117,6 +117,7 @@
   // the table may be outdated.
   void CollectRows();
 
+  std::uint64_t LedgerEra() const override { return ledger_.era(); }
   void OnLedgerEra(std::uint64_t era) override;
   std::vector<Endpoint> OtherInstances() const override { return Peers(); }
 
--- a/test/token_fleet_restore_test.cc
+++ b/test/token_fleet_restore_test.cc
@@ -49,6 +49,7 @@
   EXPECT_EQ(result.overspent, 0);
 }
 
+// What only the instance knew that drew was lost with it.
 TEST(TokenFleetRestoreTest, WhatAnInstanceDrewThatLeftIsNotDrawnAgain) {
   const TokenFleetResult result =
       Simulate(3, {At(FleetFaultKind::kRemoved, 8, 1, 0.34),
@@ -56,6 +57,20 @@
   EXPECT_EQ(result.overspent, 0);
 }
 
+TEST(TokenFleetRestoreTest, WhatAKilledInstanceDrewIsNotDrawnAgain) {
+  const TokenFleetResult result =
+      Simulate(3, {At(FleetFaultKind::kKilled, 9, 6, 0.34),
+                   At(FleetFaultKind::kStoreRestored, 9.05, 1, 1, 6)});
+  EXPECT_EQ(result.overspent, 0);
+}
+
+TEST(TokenFleetRestoreTest, WhatHalfOfTheInstancesDrewIsNotDrawnAgain) {
+  const TokenFleetResult result =
+      Simulate(4, {At(FleetFaultKind::kKilled, 9, 3.5, 0.5),
+                   At(FleetFaultKind::kStoreRestored, 9.05, 1, 1, 6)});
+  EXPECT_EQ(result.overspent, 0);
+}
+
 TEST(TokenFleetRestoreTest, TwoRestoresInARowGrantNoTokensAgain) {
   const TokenFleetResult result =
       Simulate(5, {At(FleetFaultKind::kStoreRestored, 8, 1, 1, 4),
