Count what an incarnation used of a row that it didn't write

Cause: the second process inherits a row and writes it under its own name up to a second later. In an outage its limit grows without contact, by a row that names the first process as its writer. The third process counted the time up to the end of that writer only and inherited the same tokens.

Ruled out: using nothing before the row is written. A start right before an outage would then serve no prepaid request at that instance.

--- a/src/forward/prepaid_ledger_rows.cc
+++ b/src/forward/prepaid_ledger_rows.cc
@@ -28,6 +28,9 @@
 constexpr absl::Duration kMinClaimSpread = absl::Seconds(1);
 constexpr absl::Duration kClaimSpreadPerInstance = absl::Milliseconds(40);
 
+// EndedIncarnation::ended_ms may be this much later than the end.
+constexpr std::int64_t kClockMarginMs = 2;
+
 // Decodes the leading fields of a row as decimal numbers. Fields are separated
 // by blanks; names follow the numbers.
 template <typename... Numbers>
@@ -129,17 +132,28 @@
 absl::Duration InheritedTimes::GapOf(const std::string& writer,
                                      std::int64_t planned_ms) const {
   if (!started_ms.has_value()) return absl::InfiniteDuration();
+  const auto it =
+      std::find_if(ended.begin(), ended.end(),
+                   [&writer](const EndedIncarnation& incarnation) {
+                     return !writer.empty() && incarnation.id == writer;
+                   });
+  const bool is_listed = it != ended.end();
+  const std::int64_t contact_ms =
+      is_listed ? std::max(planned_ms, it->contact_ms) : planned_ms;
+  if (contact_ms <= 0) return absl::InfiniteDuration();
   // An incarnation whose heartbeats were all rejected isn't listed.
-  std::int64_t ended_ms = *started_ms;
-  std::int64_t contact_ms = planned_ms;
-  for (const EndedIncarnation& incarnation : ended) {
-    if (writer.empty() || incarnation.id != writer) continue;
-    ended_ms = incarnation.ended_ms;
-    contact_ms = std::max(contact_ms, incarnation.contact_ms);
-    break;
+  std::int64_t gap_ms = (is_listed ? it->ended_ms : *started_ms) - contact_ms;
+  if (is_listed) {
+    // The later ones may have inherited the row and used its tokens before they
+    // wrote it. Each of them read it after the one before it had ended.
+    for (auto later = it; later != ended.begin();) {
+      const std::int64_t read_ms = later->ended_ms - kClockMarginMs;
+      --later;
+      gap_ms = std::max(gap_ms,
+                        later->ended_ms - std::max(read_ms, later->contact_ms));
+    }
   }
-  if (contact_ms <= 0) return absl::InfiniteDuration();
-  return absl::Milliseconds(std::max<std::int64_t>(0, ended_ms - contact_ms));
+  return absl::Milliseconds(std::max<std::int64_t>(0, gap_ms));
 }
 
 std::string PrepaidLedger::WriterOf(const std::string& value) {
--- a/test/forward_prepaid_ledger_test.cc
+++ b/test/forward_prepaid_ledger_test.cc
@@ -147,6 +147,39 @@
   EXPECT_EQ(second.GetSummary(kCustomer).held_here, held - authorized);
 }
 
+// Regression test: an instance was killed twice around an outage. The second
+// incarnation used what it had inherited and never wrote the row, so that the
+// third one inherited the same tokens.
+TEST_F(PrepaidLedgerScenarioTest,
+       TokensOfAnIncarnationThatNeverWroteTheRowAreNotInheritedAgain) {
+  const auto first = MakeLedger("1", kUnknownGap);
+  CommitTransactions(first.get());
+  const Tokens held = first->GetSummary(kCustomer).held_here;
+  const auto second = MakeLedger("2", absl::Milliseconds(700));
+  CommitTransactions(second.get());
+  const absl::Duration outage = absl::Seconds(5);
+  const Tokens used = second->FreeTokens(kCustomer, now_ + outage);
+  ASSERT_GT(used, Tokens(0));
+  ASSERT_EQ(second->Reserve(kCustomer, used, now_ + outage),
+            ReserveResult::kReserved);
+
+  const std::int64_t second_started_ms = 1'000'700;
+  const std::int64_t third_started_ms =
+      second_started_ms + absl::ToInt64Milliseconds(outage);
+  PrepaidLedger third({.instance = "i", .incarnation = "3"});
+  third.SetInheritedTimes({.has_heartbeat = true,
+                           .started_ms = third_started_ms,
+                           .ended = {{.id = "2", .ended_ms = third_started_ms},
+                                     {.id = "1",
+                                      .contact_ms = second_started_ms - 700,
+                                      .ended_ms = second_started_ms}}},
+                          now_ - absl::Minutes(1));
+  third.SetBudgets(MakeConfig(100000), now_ - absl::Minutes(1));
+  third.SetHomeCustomers([](const CustomerId&) { return true; });
+  CommitTransactions(&third);
+  EXPECT_LE(third.GetSummary(kCustomer).held_here, held - used);
+}
+
 TEST_F(PrepaidLedgerScenarioTest,
        ALaterStartLosesWhatTheLimitOfThePredecessorCanHaveGrownTo) {
   const auto first = MakeLedger("1", kUnknownGap);
