--- a/src/router/ledger_row_sync.cc
+++ b/src/router/ledger_row_sync.cc
@@ -19,8 +19,8 @@
 constexpr char kRowSeparator = ',';
 constexpr char kFieldSeparator = '.';
 constexpr std::size_t kRowFields = 5;
-// Number of rows or customers whose encoding fits into the head of a request.
-constexpr std::size_t kMaxRowsPerCall = 16;
+// Fits into the head of a request.
+constexpr std::size_t kMaxQueryBytes = 4 << 10;
 
 // Splits the leading number off a path, up to the next slash.
 bool ConsumeNumber(std::string* path, std::uint64_t* number) {
@@ -190,31 +190,40 @@
 void LedgerRowSync::Collect(const std::vector<CustomerId>& customers,
                             std::uint64_t era,
                             std::function<void(const RowsByCustomer&)> done) {
-  for (std::size_t begin = 0; begin < customers.size();
-       begin += kMaxRowsPerCall) {
-    const auto collection = std::make_shared<Collection>();
-    collection->customers.assign(
-        customers.begin() + static_cast<std::ptrdiff_t>(begin),
-        customers.begin() + static_cast<std::ptrdiff_t>(std::min(
-                                customers.size(), begin + kMaxRowsPerCall)));
-    collection->era = era;
-    collection->done = done;
-    collection->path = absl::StrCat(
-        kPeerKnownRowsPath, era, "/",
-        absl::WebSafeBase64Escape(options_.self.value()), "/",
-        absl::StrJoin(collection->customers, std::string(1, kRowSeparator),
-                      [](std::string* out, const CustomerId& customer) {
-                        absl::StrAppend(
-                            out, absl::WebSafeBase64Escape(customer.value()));
-                      }));
-    const std::vector<Endpoint> peers = owner_->OtherInstances();
-    collection->pending = static_cast<int>(peers.size()) + 1;
-    for (const Endpoint& peer : peers) {
-      AskForRows(collection, peer, options_.collection_tries);
-    }
-    scheduler_->After(absl::ZeroDuration(),
-                      [this, collection] { CompleteAnswer(collection); });
+  std::vector<CustomerId> part;
+  std::string query;
+  const auto start = [&] {
+    if (part.empty()) return;
+    StartCollection(std::exchange(part, {}), std::exchange(query, ""), era,
+                    done);
+  };
+  for (const CustomerId& customer : customers) {
+    const std::string name = absl::WebSafeBase64Escape(customer.value());
+    if (query.size() + name.size() >= kMaxQueryBytes) start();
+    if (!query.empty()) query += kRowSeparator;
+    query += name;
+    part.push_back(customer);
   }
+  start();
+}
+
+void LedgerRowSync::StartCollection(
+    std::vector<CustomerId> customers, const std::string& query,
+    std::uint64_t era, std::function<void(const RowsByCustomer&)> done) {
+  const auto collection = std::make_shared<Collection>();
+  collection->customers = std::move(customers);
+  collection->era = era;
+  collection->done = std::move(done);
+  collection->path = absl::StrCat(
+      kPeerKnownRowsPath, era, "/",
+      absl::WebSafeBase64Escape(options_.self.value()), "/", query);
+  const std::vector<Endpoint> peers = owner_->OtherInstances();
+  collection->pending = static_cast<int>(peers.size()) + 1;
+  for (const Endpoint& peer : peers) {
+    AskForRows(collection, peer, options_.collection_tries);
+  }
+  scheduler_->After(absl::ZeroDuration(),
+                    [this, collection] { CompleteAnswer(collection); });
 }
 
 void LedgerRowSync::AskForRows(const std::shared_ptr<Collection>& collection,
@@ -264,19 +273,19 @@
 }
 
 void LedgerRowSync::HandOver() {
-  std::map<CustomerId, std::vector<KnownLedgerRow>> by_customer;
+  std::vector<KnownLedgerRow> part;
+  std::size_t bytes = 0;
+  const auto copy = [&] {
+    bytes = 0;
+    if (!part.empty()) Copy(std::exchange(part, {}), [](bool) {});
+  };
   for (const KnownLedgerRow& row : rows_.AllRows()) {
-    by_customer[row.customer].push_back(row);
-  }
-  for (const auto& [customer, rows] : by_customer) {
-    for (std::size_t begin = 0; begin < rows.size(); begin += kMaxRowsPerCall) {
-      const std::vector<KnownLedgerRow> part(
-          rows.begin() + static_cast<std::ptrdiff_t>(begin),
-          rows.begin() + static_cast<std::ptrdiff_t>(
-                             std::min(rows.size(), begin + kMaxRowsPerCall)));
-      Copy(part, [](bool) {});
-    }
+    const std::size_t size = EncodeLedgerRows({row}).size();
+    if (bytes + size >= kMaxQueryBytes) copy();
+    bytes += size + 1;
+    part.push_back(row);
   }
+  copy();
 }
 
 std::optional<std::string> LedgerRowSync::HandlePeerRequest(
--- a/src/router/ledger_row_sync.h
+++ b/src/router/ledger_row_sync.h
@@ -71,8 +71,8 @@
   // Records rows that the table showed.
   void Record(const std::vector<KnownLedgerRow>& rows);
 
-  // Records rows of one customer that the table has just acknowledged, and
-  // copies them to other instances. `done` runs once, never from within the
+  // Records rows that the table has just acknowledged, at least one, and copies
+  // them to other instances. `done` runs once, never from within the
   // call: with false if another instance knows of a later era, so that the
   // acknowledgement is void. Otherwise each of the chosen instances has
   // recorded the rows or didn't respond.
@@ -101,6 +101,9 @@
   void SendCopy(const Endpoint& peer, const std::string& path,
                 std::function<void(std::optional<std::uint64_t>)> done);
   void CompleteCopy(const std::shared_ptr<CopyRound>& round);
+  void StartCollection(std::vector<CustomerId> customers,
+                       const std::string& query, std::uint64_t era,
+                       std::function<void(const RowsByCustomer&)> done);
   void AskForRows(const std::shared_ptr<Collection>& collection,
                   const Endpoint& peer, int tries);
   void CompleteAnswer(const std::shared_ptr<Collection>& collection);
--- a/src/router/token_plane.cc
+++ b/src/router/token_plane.cc
@@ -158,13 +158,12 @@
   return peers;
 }
 
-void TokenPlane::Leave() {
-  rows_.HandOver();
-  registry_.Leave();
-}
-
 void TokenPlane::ReturnTokens() {
-  if (!returning_tokens_) ledger_.StartReturningTokens();
+  if (!returning_tokens_) {
+    ledger_.StartReturningTokens();
+    // What this instance commits from now on is copied as always.
+    rows_.HandOver();
+  }
   returning_tokens_ = true;
   loans_.TransferTokens();
   sender_.SendDueTransactions();
--- a/src/router/token_plane.h
+++ b/src/router/token_plane.h
@@ -94,7 +94,7 @@
   bool IsSettled() const { return ledger_.IsSettled(); }
 
   // Removes this instance from the list of instances.
-  void Leave();
+  void Leave() { registry_.Leave(); }
 
  private:
   void Tick();
