--- a/test/router_components_test.cc
+++ b/test/router_components_test.cc
@@ -214,7 +214,7 @@
   std::optional<TableContact> LastCommitContact() const override {
     return LastContact();
   }
-  std::uint64_t Era() const override { return 0; }
+  std::uint64_t Era() const override { return era; }
   std::optional<TableContact> LastContact() const override {
     return std::nullopt;
   }
@@ -258,8 +258,15 @@
                    const TableVersion& /*version*/, absl::Duration /*wait*/,
                    PollDone /*done*/) override {}
 
+  // Goes back to a copy in which `key` had no row.
+  void RestoreWithout(const std::string& key) {
+    rows_.erase(key);
+    ++era;
+  }
+
   bool unavailable = false;
   bool rejects_writes = false;
+  std::uint64_t era = 1;
 
  private:
   ManualScheduler* const scheduler_;
@@ -394,6 +401,20 @@
   }
 }
 
+// An instance that isn't asked for its rows after a restore may be the only one
+// that knows some of them.
+TEST_F(InstanceRegistryTest, AnInstanceStaysListedIfARestoreLosesItsRow) {
+  RecordingOwner owners[2];
+  const auto observer = StartInstance(0, &owners[0]);
+  auto other = StartInstance(1, &owners[1]);
+  scheduler_.Advance(absl::Seconds(12));
+  ASSERT_EQ(observer->OtherInstances().size(), 1U);
+  table_.rejects_writes = true;
+  table_.RestoreWithout("i1");
+  scheduler_.Advance(absl::Seconds(8));
+  EXPECT_EQ(observer->OtherInstances().size(), 1U);
+}
+
 TEST_F(InstanceRegistryTest, TheNextInstanceInRankReplacesAnUnusableOne) {
   RecordingOwner owners[3];
   const auto first = StartInstance(0, &owners[0]);
--- a/test/router_tests.cmake
+++ b/test/router_tests.cmake
@@ -2,6 +2,7 @@
 target_link_libraries(token_fleet PUBLIC wisteriareel_router wisteriareel_fakes
   PRIVATE wisteriareel_warnings)
 wisteriareel_test(adapter_test LIBRARIES wisteriareel_adapter)
+wisteriareel_test(store_client_test LIBRARIES wisteriareel_adapter)
 wisteriareel_test(adapter_property_test
   LIBRARIES wisteriareel_adapter wisteriareel_router rapidcheck rapidcheck_gtest)
 wisteriareel_test(router_components_test LIBRARIES wisteriareel_router)
