Keep what an instance knows of an earlier era when rows are collected

Found when the change was read again: an instance that knows a newer state of the pool than the first one of the era is based on adds the difference. It forgot that state if it learned the pool of the present era from another instance, and not from the table. Both ways go through ApplyPoolRow now.

--- a/src/forward/prepaid_ledger_rows.cc
+++ b/src/forward/prepaid_ledger_rows.cc
@@ -283,12 +283,16 @@
   const std::string own_key = HolderKey(customer).key;
   std::optional<OutdatedRow> inherited;
   for (const KnownLedgerRow& row : rows) {
-    // The table may show a void transaction in place of the one that was
-    // acknowledged.
-    if (row.key == kPoolRow && account.pool_state <= row.state) {
-      account.pool = DecodePool(row.value);
-      account.pool_state = row.state;
-      account.pool_known = true;
+    if (row.key == kPoolRow) {
+      const PartitionRow pool{.key = PoolKey(customer),
+                              .value = row.value,
+                              .version = account.pool_version};
+      ApplyPoolRow(&account, &pool, era);
+      // The table may have shown a void transaction in place of the one that
+      // was acknowledged.
+      if (account.pool_state == row.state && row.state.era < era) {
+        account.pool = DecodePool(row.value);
+      }
     }
     if (row.key == own_key && account.outdated_row.has_value() &&
         account.outdated_row->state <= row.state) {
