--- a/review/standin-3/spoiled_answer.cpp
+++ b/review/standin-3/spoiled_answer.cpp
@@ -1,5 +1,5 @@
-// A server hands out wrong bytes: in place of some answers it sends an HTTP
-// message that is no answer in the protocol, since it bears no seal.
+// A server hands out wrong bytes: some of its answers are HTTP messages that
+// are no answer in the protocol, since they bear no seal.
 #include "fleet.h"
 
 namespace review {
@@ -29,14 +29,21 @@
       if (request.Word(1) == "/report" || ++answered % kSpoilEach != 25) {
         return std::nullopt;
       }
-      ++spoiled;
-      record->Add("server i-a0 sends wrong bytes for " +
-                  request.Field("wisteriareel-request-id"));
-      const std::string body = "<html>It works!</html>\n";
-      SendAll(fd,
-              "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n"
-              "Content-Length: " +
-                  std::to_string(body.size()) + "\r\n\r\n" + body);
+      const std::string id = request.Field("wisteriareel-request-id");
+      // By turns its own answer with a wrong byte in the name of a field, and
+      // bytes of another program.
+      const bool is_own = ++spoiled % 2 == 0;
+      record->Add("server i-a0 sends wrong bytes for " + id +
+                  (is_own ? " (its answer, spoiled)" : " (another page)"));
+      const std::string body =
+          is_own ? "answer to " + id + "\n" : "<html>It works!</html>\n";
+      const std::string fields =
+          is_own ? "Wisteriareel-Request-Id: " + id +
+                       "\r\nWisteriareel-Response-Se`l: " + Seal(id) + "\r\n"
+                 : "Content-Type: text/html\r\n";
+      SleepMs(20);
+      SendAll(fd, "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " +
+                      std::to_string(body.size()) + "\r\n\r\n" + body);
       return false;
     };
   }
