--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,8 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/standin-3/*.cc; do
-  name="$(basename "$source" .cc)"
+for source in review/standin-3/*.cpp; do
+  name="$(basename "$source" .cpp)"
   g++ -std=c++20 -O1 -pthread -Ireview/standin-3 "$source" \
     -o "target/review-3/$name"
 done
--- a/review/standin-3/drill_drain.cpp
+++ b/review/standin-3/drill_drain.cpp
@@ -8,7 +8,9 @@
 constexpr int kRouters = 3;
 constexpr int kTargets = 4;
 constexpr std::int64_t kDrainMs = 2000;
-constexpr std::int64_t kBeatMs = 1200;
+// Time from the return of the store to the end of the server, which falls
+// before its next report.
+constexpr std::int64_t kServesOnMs = 800;
 
 int Play(const std::string& folder, Record* record) {
   // The threads of the stand-ins use them to the end of the process.
@@ -129,7 +131,8 @@
   } else {
     SleepMs(600);
   }
-  SleepMs(kBeatMs + 800);
+  // The server has served for over kDrainMs and ends.
+  SleepMs(kServesOnMs);
   targets[0]->Leave();
   record->Add("server i-a0 ends");
   SleepMs(1500);
