--- a/review/standin-3/drill_drain.cpp
+++ b/review/standin-3/drill_drain.cpp
@@ -142,7 +142,7 @@
               std::to_string(late) + ", of these without success " +
               std::to_string(lost.load()));
   for (const auto& router : routers) {
-    if (router->Ended().has_value()) return kBroken;
+    if (router->Ended().has_value()) return kNotRun;
   }
   const std::lock_guard<std::mutex> lock(mutex);
   if (served == 0 || told.size() != kRouters) return kNotRun;
--- a/review/standin-3/split_route.cpp
+++ b/review/standin-3/split_route.cpp
@@ -114,7 +114,7 @@
               std::to_string(input + output) + " tokens of " +
               std::to_string(kPrepaid) + " prepaid");
   for (const auto& router : routers) {
-    if (router->Ended().has_value()) return kBroken;
+    if (router->Ended().has_value()) return kNotRun;
   }
   if (at_engine == 0) return kNotRun;
   return input + output > kPrepaid ? kBroken : kHeld;
--- a/review/standin-3/spoiled_answer.cpp
+++ b/review/standin-3/spoiled_answer.cpp
@@ -107,7 +107,7 @@
               " times, successes without the server's seal " +
               std::to_string(foreign.load()));
   for (const auto& router : routers) {
-    if (router->Ended().has_value()) return kBroken;
+    if (router->Ended().has_value()) return kNotRun;
   }
   if (served == 0 || (Trouble() && spoiled == 0)) return kNotRun;
   return foreign > 0 ? kBroken : kHeld;
